--- /dev/null
+++ b/src/monsoonline/verify/at_most_once.py
@@ -0,0 +1,301 @@
+"""Specification of at-most-once execution of one key.
+
+The owner is the entry incarnation that minted the key. Copies of the request
+reach the owner and one other entry in any order; the owner may pause, stop
+gracefully with a handover, crash, and be replaced at the same address.
+"""
+
+from typing import NamedTuple
+
+from monsoonline.verify.specification import Specification, specifications
+
+__all__ = ["specification"]
+
+# Copies on the way to upstreams; bounds the model when the no-resend guard is broken.
+MAX_TRANSIT = 2
+FINISHED = "finished"
+REFUSED = "refused"
+
+
+class State(NamedTuple):
+    """Global state around one key.
+
+    :param owner: ``up``, ``paused``, ``closed`` (starts nothing more) or ``gone``
+    :param buffered: copies in the owner's input buffers
+    :param elsewhere: copies at the other entry
+    :param record: ``none``, ``open``, ``sent``, ``finished`` or ``refused``
+    :param transit: copies on the way to an upstream
+    :param runs: executions at upstreams
+    :param expired: whether the key's window is older than the retention
+    :param query: ``none``, ``asked`` or the owner's reply
+    :param handover: ``none``, or what the owner's peers hold about the key
+    :param said_not_run: whether a caller was told that the request did not run
+    :param sends: copies that the caller may still send
+    """
+
+    owner: str = "up"
+    buffered: int = 0
+    elsewhere: int = 0
+    record: str = "none"
+    transit: int = 0
+    runs: int = 0
+    expired: bool = False
+    query: str = "none"
+    handover: str = "none"
+    said_not_run: bool = False
+    sends: int = 3
+
+
+specification = Specification(
+    name="at-most-once",
+    initial=State(),
+    bounds="one key, 3 copies, 2 entries, 1 successor incarnation",
+)
+specifications.register("at-most-once")(specification)
+
+GUARDS = {
+    "record-check": "a key with a record is never started again",
+    "final-refusal": "a not-run refusal keeps a record, so the key never starts later",
+    "tombstone": "a never-started reply is preceded by a record that forbids a start",
+    "unreachable-is-unknown": "an owner that does not reply means unknown",
+    "owner-only": "only the incarnation in the key may start it",
+    "fresh-incarnation": "a restarted process never has its predecessor's identity",
+    "window-check": "keys whose records may have been evicted are not started",
+    "no-resend": "a request that may have been sent is not sent again",
+    "certificate-required": "only a certified upstream refusal counts as not run",
+    "closed-starts-nothing": "a closed incarnation starts no key",
+    "handover-after-drain": "records are handed over after the last request ended",
+}
+for guard_name, description in GUARDS.items():
+    specification.guard(guard_name, description)
+
+
+@specification.invariant("runs-at-most-once")
+def runs_at_most_once(state):
+    """No key is executed twice."""
+    return state.runs <= 1
+
+
+@specification.invariant("not-run-is-true")
+def not_run_is_true(state):
+    """A key refused as not run has not run and never runs later."""
+    return not (state.said_not_run and state.runs)
+
+
+@specification.step("send-to-owner")
+def send_to_owner(state, guards):
+    """The caller sends a copy to the owner."""
+    if state.sends and state.buffered < 2 and state.owner != "gone":
+        yield state._replace(sends=state.sends - 1, buffered=state.buffered + 1)
+
+
+@specification.step("send-elsewhere")
+def send_elsewhere(state, guards):
+    """The caller sends a copy to another entry."""
+    if state.sends and not state.elsewhere:
+        yield state._replace(sends=state.sends - 1, elsewhere=1)
+
+
+@specification.step("pause")
+def pause(state, guards):
+    """The owner stops running without notice."""
+    if state.owner == "up":
+        yield state._replace(owner="paused")
+
+
+@specification.step("resume")
+def resume(state, guards):
+    """The owner runs again and does not know that it was paused."""
+    if state.owner == "paused":
+        yield state._replace(owner="up")
+
+
+@specification.step("begin")
+def begin(state, guards):
+    """The owner opens the record of the key."""
+    starts = ("up",) if guards("closed-starts-nothing") else ("up", "closed")
+    if state.owner not in starts or not state.buffered:
+        return
+    if state.expired and guards("window-check"):
+        return
+    if state.record == "none" or not guards("record-check"):
+        yield state._replace(buffered=state.buffered - 1, record="open")
+
+
+@specification.step("repeat")
+def repeat(state, guards):
+    """A further copy gets the recorded result, or waits and is told unknown."""
+    if state.owner in ("up", "closed") and state.buffered and state.record != "none":
+        refused = state.said_not_run or state.record == REFUSED
+        yield state._replace(buffered=state.buffered - 1, said_not_run=refused)
+
+
+@specification.step("refuse-expired")
+def refuse_expired(state, guards):
+    """The owner tells unknown for a key whose window has expired."""
+    if state.owner in ("up", "closed") and state.buffered and state.expired:
+        yield state._replace(buffered=state.buffered - 1)
+
+
+@specification.step("refuse")
+def refuse(state, guards):
+    """The owner refuses before it sends anything: no slot, or deadline passed."""
+    if state.owner in ("up", "closed") and state.record == "open":
+        record = REFUSED if guards("final-refusal") else "none"
+        yield state._replace(record=record, said_not_run=True)
+
+
+@specification.step("forward")
+def forward(state, guards):
+    """The owner sends the request to an upstream."""
+    if state.transit >= MAX_TRANSIT or state.runs >= MAX_TRANSIT:
+        return
+    if state.owner in ("up", "closed") and state.record == "open":
+        yield state._replace(record="sent", transit=state.transit + 1)
+
+
+@specification.step("execute")
+def execute(state, guards):
+    """An upstream runs a copy."""
+    if state.transit:
+        yield state._replace(transit=state.transit - 1, runs=state.runs + 1)
+
+
+@specification.step("lose")
+def lose(state, guards):
+    """A copy is lost on its way to the upstream."""
+    if state.transit:
+        yield state._replace(transit=state.transit - 1)
+
+
+@specification.step("finish")
+def finish(state, guards):
+    """The owner receives the response and records it."""
+    if state.owner in ("up", "closed") and state.record == "sent" and state.runs:
+        yield state._replace(record=FINISHED)
+
+
+@specification.step("lose-connection")
+def lose_connection(state, guards):
+    """The connection breaks after the request was sent; unknown is recorded."""
+    if state.owner in ("up", "closed") and state.record == "sent":
+        record = FINISHED if guards("no-resend") else "open"
+        yield state._replace(record=record)
+
+
+@specification.step("receive-bare-refusal")
+def receive_bare_refusal(state, guards):
+    """The upstream, or something before it, refuses without a certificate."""
+    if state.owner in ("up", "closed") and state.record == "sent":
+        if guards("certificate-required"):
+            yield state._replace(record=FINISHED)
+        else:
+            yield state._replace(record=REFUSED, said_not_run=True)
+
+
+@specification.step("receive-certified-refusal")
+def receive_certified_refusal(state, guards):
+    """The upstream certifies that it did not run the copy; another may be tried."""
+    if state.owner in ("up", "closed") and state.record == "sent" and state.transit:
+        yield state._replace(record="open", transit=state.transit - 1)
+
+
+@specification.step("expire")
+def expire(state, guards):
+    """The key's window passes the retention; a settled record is evicted."""
+    if not state.expired:
+        evicted = state.record in (FINISHED, REFUSED)
+        yield state._replace(expired=True, record="none" if evicted else state.record)
+
+
+@specification.step("evict")
+def evict(state, guards):
+    """A record that settles after the retention is evicted."""
+    if state.expired and state.record in (FINISHED, REFUSED):
+        yield state._replace(record="none")
+
+
+@specification.step("query")
+def query(state, guards):
+    """The other entry asks the owner about its copy."""
+    if state.elsewhere and state.query == "none":
+        if guards("owner-only"):
+            yield state._replace(query="asked")
+        else:
+            yield state._replace(elsewhere=0, transit=state.transit + 1)
+
+
+@specification.step("reply")
+def reply(state, guards):
+    """The owner replies; a never-started key gets a tombstone first."""
+    if state.owner not in ("up", "closed") or state.query != "asked":
+        return
+    if state.record != "none":
+        settled = state.record in (FINISHED, REFUSED)
+        yield state._replace(query=state.record if settled else "unknown")
+    elif state.expired:
+        yield state._replace(query="unknown")
+    else:
+        record = REFUSED if guards("tombstone") else "none"
+        yield state._replace(query=REFUSED, record=record)
+
+
+@specification.step("receive-reply")
+def receive_reply(state, guards):
+    """The other entry tells its caller what the owner replied."""
+    if state.query not in ("none", "asked"):
+        refused = state.said_not_run or state.query == REFUSED
+        yield state._replace(elsewhere=0, query="none", said_not_run=refused)
+
+
+@specification.step("query-timeout")
+def query_timeout(state, guards):
+    """No reply arrives in time: owner paused, gone, or the message lost."""
+    if state.query == "asked":
+        refused = state.said_not_run or not guards("unreachable-is-unknown")
+        yield state._replace(elsewhere=0, query="none", said_not_run=refused)
+
+
+@specification.step("close")
+def close(state, guards):
+    """The owner begins a graceful stop."""
+    if state.owner == "up":
+        yield state._replace(owner="closed")
+
+
+@specification.step("hand-over")
+def hand_over(state, guards):
+    """The owner gives its records and its closing statement to its peers."""
+    if state.owner != "closed" or state.handover != "none":
+        return
+    if state.record in ("open", "sent"):
+        if not guards("handover-after-drain"):
+            yield state._replace(handover=REFUSED)
+    elif state.record == FINISHED:
+        yield state._replace(handover=FINISHED)
+    elif state.expired:
+        yield state._replace(handover="unknown")
+    else:
+        yield state._replace(handover=REFUSED)
+
+
+@specification.step("ask-successor")
+def ask_successor(state, guards):
+    """The other entry, or a peer of it, holds the handed-over records."""
+    if state.elsewhere and state.query == "none" and state.handover != "none":
+        refused = state.said_not_run or state.handover == REFUSED
+        yield state._replace(elsewhere=0, said_not_run=refused)
+
+
+@specification.step("stop")
+def stop(state, guards):
+    """The owner ends, as planned or by a crash; its buffers are lost."""
+    if state.owner != "gone":
+        yield state._replace(owner="gone", buffered=0, record="none")
+
+
+@specification.step("restart")
+def restart(state, guards):
+    """A successor process starts at the owner's address."""
+    if state.owner == "gone" and not guards("fresh-incarnation"):
+        yield state._replace(owner="up", expired=False)
--- /dev/null
+++ b/src/monsoonline/verify/configuration.py
@@ -0,0 +1,230 @@
+"""Specification of the propagation of tables to the entries.
+
+Entry ``a`` commits edits, ``b``, ``c`` and ``e`` are ready peers, ``d`` is a
+replacement that starts without state. The store may be unavailable and its reads may
+be stale.
+"""
+
+from typing import NamedTuple
+
+from monsoonline.verify.specification import Specification, specifications
+
+__all__ = ["specification"]
+
+PEERS = ("a", "b", "c", "e")
+HOLDERS_REQUIRED = 3
+MAX_REVISION = 2
+
+
+class State(NamedTuple):
+    """Revisions held and how they got there.
+
+    :param store: last committed revision
+    :param store_up: whether the store answers
+    :param a: revision in effect at entry ``a``, -1 when it has failed
+    :param b: revision in effect at entry ``b``, -1 when it has failed
+    :param c: revision in effect at entry ``c``, -1 when it has failed
+    :param e: revision in effect at entry ``e``, -1 when it has failed
+    :param d: revision held by the replacement
+    :param d_ready: whether the replacement is handed out to callers
+    :param heard: peers that the replacement has heard
+    :param d_floor: revision accepted when the replacement began to hear
+    :param pending: committed revision that waits for acknowledgements, 0 for none
+    :param acknowledged: entries that hold the pending revision
+    :param accepted: last revision that an operator was told is accepted
+    :param failures: entry failures that may still happen
+    :param reverted: whether an entry went back to an earlier revision
+    :param late: whether the replacement became ready below its floor
+    """
+
+    store: int = 0
+    store_up: bool = True
+    a: int = 0
+    b: int = 0
+    c: int = 0
+    e: int = 0
+    d: int = 0
+    d_ready: bool = False
+    heard: frozenset = frozenset()
+    d_floor: int = 0
+    pending: int = 0
+    acknowledged: frozenset = frozenset()
+    accepted: int = 0
+    failures: int = 2
+    reverted: bool = False
+    late: bool = False
+
+
+specification = Specification(
+    name="configuration",
+    initial=State(),
+    bounds="4 ready entries, 1 replacement, 2 edits, 2 failures of entries",
+)
+specifications.register("configuration")(specification)
+
+GUARDS = {
+    "monotonic-apply": "only a higher revision replaces the one in effect",
+    "three-holders": "an edit is accepted when three entries hold it",
+    "hear-peers": "without the store, every live peer must be heard",
+    "validated-read": "a starting entry validates its read by a transaction",
+    "commit-first": "a revision is in effect only after its commit",
+}
+for guard_name, description in GUARDS.items():
+    specification.guard(guard_name, description)
+
+
+@specification.invariant("never-reverts")
+def never_reverts(state):
+    """No entry goes back to an earlier revision."""
+    return not state.reverted
+
+
+@specification.invariant("ready-is-current")
+def ready_is_current(state):
+    """A replacement is not ready below what was accepted when it started."""
+    return not state.late
+
+
+@specification.invariant("accepted-is-durable")
+def accepted_is_durable(state):
+    """An accepted revision is in the store."""
+    return state.accepted <= state.store
+
+
+def live_peers(state):
+    """Return the names of the peers that have not failed."""
+    return tuple(name for name in PEERS if getattr(state, name) >= 0)
+
+
+def apply_revision(state, entry, revision, guards):
+    """Return the state after an entry was offered a revision."""
+    current = getattr(state, entry)
+    if revision > current:
+        return state._replace(**{entry: revision})
+    if revision < current and not guards("monotonic-apply"):
+        return state._replace(**{entry: revision}, reverted=True)
+    return state
+
+
+@specification.step("commit")
+def commit(state, guards):
+    """Entry ``a`` commits an edit and puts it in effect."""
+    if state.a < 0 or state.pending or state.store >= MAX_REVISION:
+        return
+    revision = state.store + 1
+    if state.store_up:
+        following = state._replace(store=revision)
+    elif not guards("commit-first"):
+        following = state
+    else:
+        return
+    following = apply_revision(following, "a", revision, guards)
+    yield following._replace(pending=revision, acknowledged=frozenset("a"))
+
+
+@specification.step("acknowledge")
+def acknowledge(state, guards):
+    """A ready peer takes the offered revision and acknowledges it."""
+    for name in live_peers(state):
+        if state.pending and name not in state.acknowledged:
+            following = apply_revision(state, name, state.pending, guards)
+            yield following._replace(acknowledged=state.acknowledged | {name})
+
+
+@specification.step("accept")
+def accept(state, guards):
+    """The operator is told that the edit is accepted."""
+    if not state.pending or state.a < 0:
+        return
+    required = min(HOLDERS_REQUIRED, len(live_peers(state)))
+    if len(state.acknowledged) >= required or not guards("three-holders"):
+        yield state._replace(
+            accepted=state.pending, pending=0, acknowledged=frozenset()
+        )
+
+
+@specification.step("gossip")
+def gossip(state, guards):
+    """A ready peer learns a revision from another."""
+    for sender in live_peers(state):
+        for receiver in live_peers(state):
+            following = apply_revision(state, receiver, getattr(state, sender), guards)
+            if following != state:
+                yield following
+
+
+@specification.step("read-store")
+def read_store(state, guards):
+    """A ready peer reads the store; the read may be one revision behind."""
+    if state.store_up:
+        for revision in {state.store, max(0, state.store - 1)}:
+            for name in live_peers(state):
+                following = apply_revision(state, name, revision, guards)
+                if following != state:
+                    yield following
+
+
+@specification.step("store-fails")
+def store_fails(state, guards):
+    """The store becomes unavailable."""
+    if state.store_up:
+        yield state._replace(store_up=False)
+
+
+@specification.step("store-returns")
+def store_returns(state, guards):
+    """The store becomes available."""
+    if not state.store_up:
+        yield state._replace(store_up=True)
+
+
+@specification.step("entry-fails")
+def entry_fails(state, guards):
+    """One of the ready entries fails and loses its state."""
+    if state.failures:
+        for name in live_peers(state):
+            following = state._replace(**{name: -1}, failures=state.failures - 1)
+            following = following._replace(
+                acknowledged=state.acknowledged - {name}, heard=state.heard - {name}
+            )
+            if name == "a":
+                following = following._replace(pending=0, acknowledged=frozenset())
+            yield following
+
+
+@specification.step("replacement-starts")
+def replacement_starts(state, guards):
+    """The replacement begins to hear its peers with nothing in effect."""
+    yield state._replace(d=0, d_ready=False, heard=frozenset(), d_floor=state.accepted)
+
+
+@specification.step("replacement-hears")
+def replacement_hears(state, guards):
+    """The replacement takes the revision of one peer."""
+    if not state.d_ready:
+        for name in live_peers(state):
+            if name not in state.heard:
+                following = state._replace(heard=state.heard | {name})
+                yield following._replace(d=max(state.d, getattr(state, name)))
+
+
+@specification.step("replacement-ready-by-peers")
+def replacement_ready_by_peers(state, guards):
+    """The replacement becomes ready without the store."""
+    heard_all = state.heard.issuperset(live_peers(state))
+    sufficient = heard_all or not guards("hear-peers")
+    if not state.d_ready and state.heard and sufficient:
+        yield state._replace(d_ready=True, late=state.late or state.d < state.d_floor)
+
+
+@specification.step("replacement-ready-by-store")
+def replacement_ready_by_store(state, guards):
+    """The replacement becomes ready by a read of the store."""
+    if state.d_ready or not state.store_up:
+        return
+    stale = max(0, state.store - 1)
+    revisions = {state.store} if guards("validated-read") else {state.store, stale}
+    for revision in revisions:
+        held = max(state.d, revision)
+        late = state.late or held < state.d_floor
+        yield state._replace(d=held, d_ready=True, late=late)
--- /dev/null
+++ b/tests/verify/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the specification and its model checking."""
