Report service-level burn from the entries' own counts

Cause: operators asked for error budgets and burn rates by each route's own definition of success, and a diskless entry keeps no history elsewhere. Change: entries count requests per route in one-minute buckets over six hours; `monsoonline report burn` adds them up as text, JSON and an HTML page with charts, names the entries that could not be read, and bounds what is missing.

--- a/src/monsoonline/commands/__init__.py
+++ b/src/monsoonline/commands/__init__.py
@@ -13,6 +13,7 @@
     "standin": "monsoonline.commands.standin",
     "upstream": "monsoonline.commands.upstream",
     "check": "monsoonline.commands.check",
+    "report": "monsoonline.commands.report",
     "verify": "monsoonline.commands.verify",
 }
 
--- /dev/null
+++ b/src/monsoonline/commands/report.py
@@ -0,0 +1,50 @@
+"""``monsoonline report``: reports made from entries' counts."""
+
+import dataclasses
+import pathlib
+import sys
+
+import click
+import orjson
+
+from monsoonline.report.burn import collect, make_report
+from monsoonline.report.render import burn_page, burn_text, incompleteness
+
+__all__ = ["command"]
+
+
+@click.group("report")
+def command():
+    """Make reports from the entries' counts."""
+
+
+@command.command("burn")
+@click.option(
+    "--entry",
+    "entries",
+    multiple=True,
+    required=True,
+    metavar="HOST:PORT",
+    help="Operations port of an entry; give every entry.",
+)
+@click.option("--timeout-ms", default=2000.0, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON line.")
+@click.option(
+    "--html", type=click.Path(dir_okay=False), help="Also write an HTML page here."
+)
+def burn(entries, timeout_ms, as_json, html):
+    """Show error budgets and burn rates of all routes and departments.
+
+    Exits with 3 where no entry could be read.
+    """
+    report = make_report(collect(entries, timeout_ms=timeout_ms))
+    if html:
+        pathlib.Path(html).write_text(burn_page(report))
+    if as_json:
+        document = dataclasses.asdict(report)
+        document["complete"] = report.complete
+        document["notes"] = incompleteness(report)
+        click.echo(orjson.dumps(document).decode())
+    else:
+        click.echo(burn_text(report))
+    sys.exit(0 if report.reached else 3)
