Serve each caller connection in one thread and refuse ambiguous requests

Cause: waitress joins repeated headers, lets chunking override a length and parses on a different thread than the one that serves, which costs two thread hand-offs for each request.

Change: each connection is one executor task that reads, serves and writes through waitress's channel, parser and task classes. The parser subclass refuses requests that two parsers could read differently and keeps repeated headers. Hop-by-hop headers, including those named by Connection, are removed. A caller's hang-up can be observed by a Cancellation. The number of connections replaces the number of workers, so the default of the setting is 512. The checks leave out source directories that do not exist: ruff failed on the missing features directory.

Conclusion: no request with ambiguous framing reaches a handler.

--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -1,78 +1,281 @@
-"""HTTP servers by waitress, with tasks run by a ``concurrent.futures`` executor."""
+"""HTTP servers by waitress, one thread for each caller connection.
+
+waitress's own loop parses on one thread and serves on others, which costs two
+thread hand-offs for each request. Here each connection is one task of a
+``concurrent.futures`` executor that reads, serves and writes with waitress's
+channel, parser and task classes.
+"""
 
 import concurrent.futures
+import functools
 import http
+import logging
+import select
+import socket
 import threading
+import time
 
+import waitress.channel
 import waitress.server
+import waitress.task
+from waitress.utilities import InternalServerError, build_http_date
 
-from monsoonline.types import Answer, Request
+from monsoonline.adapters.cancellation import Cancellation
+from monsoonline.adapters.http_parser import CheckedRequestParser, request_of
+from monsoonline.types import Answer, Outcome
 
-__all__ = ["ExecutorDispatcher", "HttpServer", "request_of"]
+__all__ = ["HttpServer"]
 
 MAX_BODY_BYTES = 1 << 20
 MAX_HEADER_BYTES = 32 << 10
+RECEIVE_BYTES = 64 << 10
+# Above the largest answer, since a channel here never waits for another thread.
+OUTPUT_LIMIT_BYTES = 64 << 20
+IDLE_TIMEOUT_MS = 120_000.0
+# Longest time for one request to arrive or one answer to be taken by the caller.
+TRANSFER_TIMEOUT_MS = 30_000.0
+BACKLOG = 1024
+NO_BODY_STATUSES = frozenset((204, 304))
+FULL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nMonsoonline-Outcome: not-run\r\n"
+    b"Content-Length: 0\r\nRetry-After: 1\r\nConnection: close\r\n\r\n"
+)
+
+logger = logging.getLogger(__name__)
+
+
+@functools.lru_cache(maxsize=2)
+def http_date(second):
+    """Return the Date header of a second since 1970; cached."""
+    return build_http_date(second)
+
+
+@functools.lru_cache(maxsize=256)
+def status_line(status, reason):
+    """Return the status line of an answer without line end."""
+    if not reason:
+        try:
+            reason = http.HTTPStatus(status).phrase
+        except ValueError:
+            reason = "Unknown"
+    return f"HTTP/1.1 {status} {reason}"
+
+
+def encode_answer(answer: Answer, *, method, close, keep_alive=False):
+    """Return the bytes of an answer.
+
+    :param method: method of the request, which decides whether a body follows
+    :param close: whether the connection ends with this answer
+    :param keep_alive: whether an HTTP/1.0 caller must be told that it stays open
+    """
+    lines = [status_line(answer.status, answer.reason)]
+    dated = False
+    length = None if answer.status in NO_BODY_STATUSES else str(len(answer.body))
+    for name, value in answer.headers:
+        lowered = name.lower()
+        if lowered == "content-length":
+            # Describes the body that a GET would have returned.
+            length = value if method == "HEAD" or answer.status == 304 else length
+            continue
+        dated = dated or lowered == "date"
+        lines.append(f"{name}: {value}")
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    if not dated:
+        lines.append(f"Date: {http_date(int(time.time()))}")
+    if close:
+        lines.append("Connection: close")
+    elif keep_alive:
+        lines.append("Connection: keep-alive")
+    lines.append("\r\n")
+    head = "\r\n".join(lines).encode("latin-1")
+    if method == "HEAD" or answer.status in NO_BODY_STATUSES:
+        return head
+    return head + answer.body
+
+
+class HandlerTask(waitress.task.Task):
+    """Runs the server's handler for one request."""
+
+    def execute(self):
+        """Answer the request with one write; called by waitress."""
+        channel = self.channel
+        parsed = self.request
+        cancellation = Cancellation(caller=channel.socket)
+        answer = channel.server.application(
+            request_of(parsed, cancellation=cancellation)
+        )
+        connection = parsed.headers.get("CONNECTION", "").lower()
+        tokens = [token.strip() for token in connection.split(",")]
+        old = parsed.version == "1.0"
+        close = (
+            "close" in tokens
+            or (old and "keep-alive" not in tokens)
+            or channel.server.draining
+        )
+        self.close_on_finish = close
+        self.wrote_header = True
+        channel.write_soon(
+            encode_answer(answer, method=parsed.command, close=close, keep_alive=old)
+        )
+
+
+class RefusalTask(waitress.task.ErrorTask):
+    """Answers a request that waitress refused, or whose handler raised."""
 
+    def execute(self):
+        """Send the refusal; called by waitress."""
+        failed = isinstance(self.request.error, InternalServerError)
+        outcome = Outcome.UNKNOWN if failed else Outcome.NOT_RUN
+        self.response_headers.append(("Monsoonline-Outcome", outcome.value))
+        super().execute()
 
-class ExecutorDispatcher:
-    """Runs waitress tasks on a :class:`concurrent.futures.ThreadPoolExecutor`.
 
-    :param workers: number of threads, the most requests served at once
+class ConnectionChannel(waitress.channel.HTTPChannel):
+    """One caller connection, read, served and written by one thread."""
+
+    task_class = HandlerTask
+    error_task_class = RefusalTask
+    parser_class = CheckedRequestParser
+    idle_since = None
+
+    def serve(self):
+        """Serve requests in order until either side closes the connection."""
+        try:
+            while self.connected and not self.close_when_flushed:
+                if not self._receive_request():
+                    break
+                while self.requests and self.connected:
+                    self.service()
+                    if not self._flush():
+                        return
+        except OSError:
+            # The caller reset the connection; there is nobody left to tell.
+            return
+        except Exception:
+            logger.exception("connection ended by an unexpected error")
+        finally:
+            self.handle_close()
+
+    def _receive_request(self):
+        self.idle_since = None if self.request else time.monotonic()
+        if self.request is None and self.server.draining:
+            return False
+        limit = IDLE_TIMEOUT_MS
+        started = None
+        while not self.requests and self.connected:
+            if not self._wait(select.POLLIN, limit):
+                return False
+            self.idle_since = None
+            started = started or time.monotonic()
+            self.handle_read()
+            self._flush()
+            limit = TRANSFER_TIMEOUT_MS - (time.monotonic() - started) * 1e3
+            if limit <= 0:
+                return False
+        return self.connected
+
+    def _flush(self):
+        while self.total_outbufs_len and self.connected:
+            if not self._wait(select.POLLOUT, TRANSFER_TIMEOUT_MS):
+                return False
+            self._flush_some(do_close=False)
+        return self.connected
+
+    def _wait(self, events, timeout_ms):
+        poller = select.poll()
+        poller.register(self.socket, events)
+        return bool(poller.poll(timeout_ms))
+
+
+class ConnectionServer(waitress.server.TcpWSGIServer):
+    """Accepts connections and gives each a task of the executor.
+
+    :param limit: connections open at once
     """
 
-    def __init__(self, *, workers):
+    channel_class = ConnectionChannel
+    draining = False
+
+    def __init__(self, application, *, limit, adj):
+        self._limit = limit
         self._executor = concurrent.futures.ThreadPoolExecutor(
-            max_workers=workers, thread_name_prefix="request"
+            max_workers=limit, thread_name_prefix="connection"
         )
+        super().__init__(
+            application, dispatcher=self._executor, adj=adj, sockinfo=adj.listen[0]
+        )
+        # waitress accepts with a non-blocking socket from its loop.
+        self.socket.setblocking(True)
 
     def add_task(self, task):
-        """Queue a waitress channel for service; called by waitress."""
-        self._executor.submit(task.service)
+        """Do nothing: a channel serves its requests itself."""
 
-    def set_thread_count(self, count):
-        """Accept waitress's call; the executor's size is fixed."""
+    def pull_trigger(self):
+        """Do nothing: no loop waits."""
 
-    def shutdown(self, cancel_pending=True, timeout=5):
-        """Finish the running tasks; called by waitress."""
-        self._executor.shutdown(wait=True, cancel_futures=cancel_pending)
-        return True
+    def set_socket_options(self, conn):
+        """Send answers without delay."""
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def accept_all(self):
+        """Accept connections until the listening socket is closed."""
+        while not self.draining:
+            try:
+                connection, address = self.socket.accept()
+            except OSError:
+                if self.draining:
+                    return
+                logger.warning("accept failed", exc_info=True)
+                time.sleep(0.01)
+                continue
+            if self.draining:
+                connection.close()
+                return
+            self._start(connection, address)
 
-def request_of(environ):
-    """Build a request from a WSGI environment.
+    def _start(self, connection, address):
+        if len(self.active_channels) >= self._limit and not self.close_longest_idle():
+            with connection:
+                connection.setblocking(False)
+                connection.send(FULL)
+            return
+        self.set_socket_options(connection)
+        channel = self.channel_class(self, connection, address, self.adj, map={})
+        self._executor.submit(channel.serve)
 
-    :param environ: the WSGI environment made by waitress
-    :returns: :class:`monsoonline.types.Request` with the body read whole
-    """
-    headers = [
-        (key[5:].replace("_", "-").title(), value)
-        for key, value in environ.items()
-        if key.startswith("HTTP_")
-    ]
-    if environ.get("CONTENT_TYPE"):
-        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
-    length = int(environ.get("CONTENT_LENGTH") or 0)
-    query = environ.get("QUERY_STRING")
-    target = environ.get("REQUEST_URI") or environ["PATH_INFO"]
-    if query and "?" not in target:
-        target = f"{target}?{query}"
-    return Request(
-        method=environ["REQUEST_METHOD"],
-        host=environ.get("HTTP_HOST", "").partition(":")[0].lower(),
-        target=target,
-        headers=tuple(headers),
-        body=environ["wsgi.input"].read(length) if length else b"",
-    )
-
-
-def status_line(answer: Answer):
-    """Return the WSGI status line of an answer."""
-    if answer.reason:
-        return f"{answer.status} {answer.reason}"
-    try:
-        return f"{answer.status} {http.HTTPStatus(answer.status).phrase}"
-    except ValueError:
-        return f"{answer.status} Unknown"
+    def close_longest_idle(self):
+        """Close the connection that waits longest for a request.
+
+        :returns: whether there was one
+        """
+        idle = [c for c in list(self.active_channels.values()) if c.idle_since]
+        if not idle:
+            return False
+        self._hang_up(min(idle, key=lambda channel: channel.idle_since))
+        return True
+
+    def drain(self):
+        """Accept no more, close idle connections, end others after their answer."""
+        if self.draining:
+            return
+        self.draining = True
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            logger.debug("listening socket was shut down before")
+        for channel in list(self.active_channels.values()):
+            if channel.idle_since:
+                self._hang_up(channel)
+        self._executor.shutdown(wait=False)
+        self.close()
+
+    @staticmethod
+    def _hang_up(channel):
+        try:
+            channel.socket.shutdown(socket.SHUT_RD)
+        except OSError:
+            logger.debug("connection was closed before")
 
 
 class HttpServer:
@@ -81,22 +284,25 @@
     :param handler: called with a :class:`Request`, returns an :class:`Answer`
     :param host: IP number to listen on
     :param port: port, 0 for any free one
-    :param workers: number of threads
+    :param workers: connections served at once, one thread each
     """
 
     def __init__(self, *, handler, host, port, workers):
-        self._handler = handler
-        self._server = waitress.server.create_server(
-            self._application,
+        adjustments = waitress.server.Adjustments(
             host=host,
             port=port,
-            threads=workers,
             ident=None,
+            backlog=BACKLOG,
             max_request_body_size=MAX_BODY_BYTES,
             max_request_header_size=MAX_HEADER_BYTES,
+            recv_bytes=RECEIVE_BYTES,
+            outbuf_high_watermark=OUTPUT_LIMIT_BYTES,
             clear_untrusted_proxy_headers=False,
-            _dispatcher=ExecutorDispatcher(workers=workers),
+            channel_request_lookahead=1,
+            # Write to the socket at once instead of waking a loop to do it.
+            send_bytes=1,
         )
+        self._server = ConnectionServer(handler, limit=workers, adj=adjustments)
         self._thread = None
 
     @property
@@ -104,19 +310,18 @@
         """``host:port`` on which the server listens."""
         return f"{self._server.effective_host}:{self._server.effective_port}"
 
+    @property
+    def connections(self):
+        """Number of open caller connections."""
+        return len(self._server.active_channels)
+
     def start(self):
-        """Serve in a thread of its own."""
+        """Accept connections in a thread of its own."""
         self._thread = threading.Thread(
-            target=self._server.run, name=f"http-{self.address}", daemon=True
+            target=self._server.accept_all, name=f"http-{self.address}", daemon=True
         )
         self._thread.start()
 
     def close(self):
-        """Stop accepting connections and end the serving thread."""
-        self._server.close()
-
-    def _application(self, environ, start_response):
-        answer = self._handler(request_of(environ))
-        headers = [*answer.headers, ("Content-Length", str(len(answer.body)))]
-        start_response(status_line(answer), headers)
-        return [answer.body]
+        """Accept no more connections; those open end between requests."""
+        self._server.drain()
--- a/src/monsoonline/settings.py
+++ b/src/monsoonline/settings.py
@@ -55,7 +55,7 @@
     operations: Listener = Listener()
     peers: Listener = Listener()
     platform: PlatformSettings
-    workers: int = pydantic.Field(default=32, ge=1, le=512)
+    workers: int = pydantic.Field(default=512, ge=1, le=4096)
     discovery_lifetime_ms: float = pydantic.Field(default=5000.0, ge=100)
     tokens: dict[str, str] = pydantic.Field(default_factory=dict)
     peer_keys: tuple[PeerKey, ...] = ()
--- a/src/monsoonline/types.py
+++ b/src/monsoonline/types.py
@@ -71,6 +71,7 @@
     :param target: path with query string
     :param headers: end-to-end header pairs
     :param body: the whole body
+    :param cancellation: tells when the caller no longer waits, ``None`` for never
     """
 
     method: str
@@ -78,6 +79,7 @@
     target: str
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
+    cancellation: object = dataclasses.field(default=None, compare=False, repr=False)
 
     @property
     def path(self):
--- /dev/null
+++ b/tests/adapters/test_http_server.py
@@ -0,0 +1,228 @@
+"""Tests of the HTTP server over raw sockets."""
+
+import contextlib
+import socket
+import threading
+import unittest
+
+from monsoonline.adapters.http_server import MAX_BODY_BYTES, HttpServer, encode_answer
+from monsoonline.types import Answer
+
+TIMEOUT_SECONDS = 5
+
+
+class ServerCase(unittest.TestCase):
+    """A server that records requests and answers with their target."""
+
+    workers = 8
+
+    def setUp(self):
+        self.requests = []
+        self.server = HttpServer(
+            handler=self.handle, host="127.0.0.1", port=0, workers=self.workers
+        )
+        self.server.start()
+        self.addCleanup(self.server.close)
+
+    def handle(self, request):
+        self.requests.append(request)
+        return Answer(status=200, body=request.target.encode())
+
+    def connect(self):
+        host, _, port = self.server.address.partition(":")
+        connection = socket.create_connection((host, int(port)), TIMEOUT_SECONDS)
+        self.addCleanup(connection.close)
+        return connection
+
+    def send(self, content):
+        """Send bytes, end the connection's lifetime, return all that is answered."""
+        connection = self.connect()
+        connection.sendall(content)
+        return self.read_all(connection)
+
+    @staticmethod
+    def read_all(connection):
+        received = b""
+        with contextlib.suppress(ConnectionResetError):
+            while data := connection.recv(65536):
+                received += data
+        return received
+
+
+class TestRefusedRequests(ServerCase):
+    """Requests that two HTTP parsers could read differently never run."""
+
+    def assert_refused(self, content, status):
+        received = self.send(content)
+        # waitress states version 1.0 when it refuses before it has read the version.
+        self.assertRegex(received, b"^HTTP/1[.][01] %d " % status)
+        self.assertEqual(received.count(b"HTTP/1."), 1, received)
+        self.assertIn(b"Monsoonline-Outcome: not-run", received)
+        self.assertEqual(self.requests, [])
+
+    def test_smuggling(self):
+        """A second request hidden in the body must not be run."""
+        hidden = b"GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n"
+        both = b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"
+        framings = {
+            "length and chunks": both,
+            "two lengths": b"Content-Length: 0\r\nContent-Length: 40\r\n",
+            "equal lengths": b"Content-Length: 4\r\nContent-Length: 4\r\n",
+            "list of lengths": b"Content-Length: 4, 4\r\n",
+            "signed length": b"Content-Length: +4\r\n",
+            "chunked twice": b"Transfer-Encoding: chunked, chunked\r\n",
+            "two codings": b"Transfer-Encoding: chunked\r\n" * 2,
+            "space before colon": b"Content-Length : 4\r\n",
+            "folded header": b"X: a\r\n Content-Length: 4\r\n",
+            "bare line feed": b"X: a\nContent-Length: 4\r\n",
+            "bad chunk size": b"Transfer-Encoding: chunked\r\n\r\n0x1\r\n",
+            "two hosts": b"Host: b\r\n",
+            "host with path": b"Host: a/b\r\n",
+        }
+        for name, lines in framings.items():
+            with self.subTest(name):
+                start = b"POST / HTTP/1.1\r\nHost: a\r\n"
+                self.assert_refused(start + lines + b"\r\n0\r\n\r\n" + hidden, 400)
+
+    def test_chunking_in_http_1_0(self):
+        lines = b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        self.assert_refused(lines, 400)
+
+    def test_request_lines(self):
+        cases = {
+            b"BREW / HTTP/1.1": 501,
+            b"CONNECT a:1 HTTP/1.1": 501,
+            b"TRACE / HTTP/1.1": 501,
+            b"get / HTTP/1.1": 400,
+            b"GET / HTTP/2.0": 400,
+            b"GET /": 400,
+            b"GET /\x01 HTTP/1.1": 400,
+            b"GET ftp://a/ HTTP/1.1": 400,
+        }
+        for line, status in cases.items():
+            with self.subTest(line):
+                self.assert_refused(line + b"\r\nHost: a\r\n\r\n", status)
+
+    def test_unknown_coding(self):
+        lines = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n"
+        self.assert_refused(lines, 501)
+
+    def test_missing_host(self):
+        self.assert_refused(b"GET / HTTP/1.1\r\n\r\n", 400)
+
+    def test_large_headers(self):
+        lines = b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * (33 << 10) + b"\r\n\r\n"
+        self.assert_refused(lines, 431)
+
+    def test_large_body(self):
+        head = b"POST / HTTP/1.1\r\nHost: a\r\n"
+        length = b"Content-Length: %d\r\n\r\n" % (MAX_BODY_BYTES + 1)
+        self.assert_refused(head + length, 413)
+
+    def test_large_chunked_body(self):
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        size = MAX_BODY_BYTES + 1
+        self.assert_refused(head + b"%x\r\n" % size + b"x" * size, 413)
+
+
+class TestAcceptedRequests(ServerCase):
+    """Requests reach the handler unchanged, answers their own caller."""
+
+    def test_pipelined_requests_get_their_own_answers_in_order(self):
+        """Two requests on one connection must not swap or share answers."""
+        first = b"GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
+        last = b"GET /last HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        received = self.send(first + first.replace(b"first", b"second") + last)
+        bodies = [part.rpartition(b"\r\n\r\n")[2] for part in received.split(b"HTTP")]
+        self.assertEqual(bodies[1:], [b"/first", b"/second", b"/last"])
+
+    def test_repeated_headers_are_kept_and_hop_by_hop_removed(self):
+        self.send(
+            b"GET /a?b=c HTTP/1.1\r\nHost: A.example:80\r\nCookie: x=1\r\n"
+            b"cookie: y=2\r\nX-Hop: 1\r\nTE: trailers\r\nUpgrade: h2c\r\n"
+            b"Connection: x-hop, close\r\n\r\n"
+        )
+        (request,) = self.requests
+        self.assertEqual(request.host, "a.example")
+        self.assertEqual(request.target, "/a?b=c")
+        self.assertEqual(
+            request.headers,
+            (("Host", "A.example:80"), ("Cookie", "x=1"), ("cookie", "y=2")),
+        )
+
+    def test_absolute_target_replaces_the_host(self):
+        self.send(
+            b"GET http://b.example/x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        )
+        (request,) = self.requests
+        self.assertEqual((request.host, request.target), ("b.example", "/x"))
+        self.assertEqual(request.headers, (("Host", "b.example"),))
+
+    def test_chunked_body_is_passed_whole(self):
+        self.send(
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+            b"Connection: close\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n"
+        )
+        self.assertEqual(self.requests[0].body, b"abcde")
+
+    def test_expect_continue(self):
+        connection = self.connect()
+        connection.sendall(
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+            b"Expect: 100-continue\r\nConnection: close\r\n\r\n"
+        )
+        interim = connection.recv(1024)
+        self.assertEqual(interim, b"HTTP/1.1 100 Continue\r\n\r\n")
+        connection.sendall(b"ab")
+        self.assertIn(b"200 OK", self.read_all(connection))
+        self.assertEqual(self.requests[0].body, b"ab")
+
+    def test_close_ends_idle_connections_and_finishes_requests(self):
+        """A planned stop must not interrupt a request in flight."""
+        entered, leave = threading.Event(), threading.Event()
+
+        def wait(request):
+            entered.set()
+            leave.wait(TIMEOUT_SECONDS)
+            return Answer(status=200, body=b"done")
+
+        self.server = HttpServer(handler=wait, host="127.0.0.1", port=0, workers=4)
+        self.server.start()
+        idle, busy = self.connect(), self.connect()
+        busy.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertTrue(entered.wait(TIMEOUT_SECONDS))
+        self.server.close()
+        self.assertEqual(self.read_all(idle), b"")
+        leave.set()
+        received = self.read_all(busy)
+        self.assertTrue(received.endswith(b"done"))
+        self.assertIn(b"Connection: close", received)
+
+
+class TestConnectionLimit(ServerCase):
+    """The number of threads is bounded."""
+
+    workers = 1
+
+    def test_idle_connection_makes_room(self):
+        """An idle caller must not keep another one out."""
+        idle = self.connect()
+        idle.sendall(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+        idle.recv(1024)
+        second = self.send(b"GET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+        self.assertIn(b"/2", second)
+        self.assertEqual(self.read_all(idle), b"")
+
+
+class TestEncodeAnswer(unittest.TestCase):
+    """Answers without a body."""
+
+    def test_head_keeps_the_length_of_the_body_it_describes(self):
+        answer = Answer(status=200, headers=(("Content-Length", "42"),))
+        content = encode_answer(answer, method="HEAD", close=False)
+        self.assertIn(b"\r\nContent-Length: 42\r\n", content)
+        self.assertTrue(content.endswith(b"\r\n\r\n"))
+
+    def test_no_content_has_no_length(self):
+        content = encode_answer(Answer(status=204), method="GET", close=False)
+        self.assertNotIn(b"Content-Length", content)
--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -11,7 +11,10 @@
 import unittest
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-SOURCES = ("src", "tests", "features", "tools")
+# Directories that do not exist yet are left out: ruff fails on a missing path.
+SOURCES = [
+    name for name in ("src", "tests", "features", "tools") if (ROOT / name).is_dir()
+]
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 KNOWN_RED_TEST = re.compile(r"^test: (\S+)", re.MULTILINE)
 SCENARIO_COUNTS = re.compile(r"^(\d+) scenarios? passed, (\d+) failed", re.MULTILINE)
