Read whole upstream answers with strict framing over limited connections

Cause: http.client accepts malformed chunk sizes and chunk ends, takes the end of a connection for the end of a body, and parses headers with the email package. Connections were unlimited, were reused without a look at the socket, and a connection that had become silent cost the whole deadline.

Change: a response subclass checks headers, lengths and chunks; an answer without a length is an error. One connection pool for each upstream has a limit (the entry's share of max_connections), age and idle limits and the proof-age rule for non-idempotent requests, and checks the socket before reuse. An idempotent request that gets no byte over an old connection within an adaptive probe timeout is repeated over a new one; if that one answers in time, the other old connections are closed. A cancellation or the deadline ends the wait for every byte, not only for the first.

Conclusion: an answer is whole or an error, and silence costs a probe timeout instead of a deadline.

--- a/src/monsoonline/metrics.py
+++ b/src/monsoonline/metrics.py
@@ -71,6 +71,10 @@
         with self._lock:
             self._counts[key] = self._counts.get(key, 0) + amount
 
+    def connection_event(self, event):
+        """Count an event of the connections to upstreams."""
+        self.count("upstream_connection_events_total", event=event)
+
     def gauge(self, name, value, **labels):
         """Set a gauge."""
         with self._lock:
--- /dev/null
+++ b/tests/adapters/scripted_upstream.py
@@ -0,0 +1,84 @@
+"""An upstream whose raw answers a test decides."""
+
+import contextlib
+import dataclasses
+import socket
+import threading
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reply:
+    """Raw bytes to send; then the connection is kept open or closed."""
+
+    content: bytes = OK
+    close: bool = False
+
+
+class ScriptedUpstream:
+    """Accepts connections and replies as a function decides.
+
+    :param script: called with the numbers of the connection and of the request on
+        it, returns a :class:`Reply`, bytes, or ``None`` to stay silent
+    """
+
+    def __init__(self, *, script):
+        self._script = script
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._open = []
+        self.requests = []
+        self.ended = threading.Event()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self):
+        host, port = self._listener.getsockname()
+        return f"{host}:{port}"
+
+    @property
+    def connections(self):
+        return len(self._open)
+
+    def close(self):
+        for opened in (self._listener, *self._open):
+            with contextlib.suppress(OSError):
+                opened.shutdown(socket.SHUT_RDWR)
+            opened.close()
+
+    def _accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self._listener.accept()
+                self._open.append(connection)
+                number = len(self._open)
+                threading.Thread(
+                    target=self._serve, args=(connection, number), daemon=True
+                ).start()
+
+    def _serve(self, connection, number):
+        with contextlib.suppress(OSError):
+            count = 0
+            while request := self._read_request(connection):
+                self.requests.append(request)
+                count += 1
+                reply = self._script(number, count)
+                if reply is None:
+                    continue
+                if isinstance(reply, bytes):
+                    reply = Reply(content=reply)
+                connection.sendall(reply.content)
+                if reply.close:
+                    connection.close()
+                    return
+        self.ended.set()
+
+    @staticmethod
+    def _read_request(connection):
+        received = b""
+        while b"\r\n\r\n" not in received:
+            data = connection.recv(65536)
+            if not data:
+                return b""
+            received += data
+        return received
--- /dev/null
+++ b/tests/adapters/test_http_upstream.py
@@ -0,0 +1,317 @@
+"""Tests of exchanges with upstreams over raw sockets."""
+
+import http.client
+import threading
+import unittest
+
+from monsoonline.adapters.cancellation import Cancellation
+from monsoonline.adapters.http_response import MAX_ANSWER_BYTES
+from monsoonline.adapters.http_upstream import ExchangeFailed, HttpUpstreamTransport
+from monsoonline.clock import SystemClock
+from monsoonline.core.model import Pool, Tables, Upstream
+from monsoonline.types import Request
+from tests.adapters.scripted_upstream import OK, Reply, ScriptedUpstream
+
+DEADLINE_MS = 400.0
+LATER_MS = 5000.0
+
+
+class TransportCase(unittest.TestCase):
+    """A transport and a scripted upstream."""
+
+    def start(self, script):
+        self.clock = SystemClock()
+        self.events = []
+        self.transport = HttpUpstreamTransport(
+            clock=self.clock, count=self.events.append
+        )
+        self.server = ScriptedUpstream(script=script)
+        self.addCleanup(self.server.close)
+        self.addCleanup(self.transport.close)
+        self.upstream = Upstream(
+            address=self.server.address, failure_domain="a", slots=3
+        )
+
+    def exchange(
+        self, method="GET", idempotent=True, within_ms=DEADLINE_MS, cancellation=None
+    ):
+        return self.transport.exchange(
+            self.upstream,
+            Request(method=method, host="a", target="/x", headers=(("Host", "a"),)),
+            deadline=self.clock.now() + within_ms,
+            idempotent=idempotent,
+            cancellation=cancellation,
+        )
+
+    def fail(self, **options):
+        with self.assertRaises(ExchangeFailed) as caught:
+            self.exchange(**options)
+        return caught.exception
+
+
+class TestWholeAnswers(TransportCase):
+    """An answer is whole or an error."""
+
+    def test_part_of_an_answer_is_an_error(self):
+        """A truncated or ambiguous answer must never be passed on as complete."""
+        head = b"HTTP/1.1 200 OK\r\n"
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
+        replies = {
+            "body cut": head + b"Content-Length: 9\r\n\r\nabc",
+            "head cut": head + b"Content-Le",
+            "no answer": b"",
+            "last chunk missing": chunked + b"3\r\nabc\r\n",
+            "trailer cut": chunked + b"3\r\nabc\r\n0\r\n",
+            "chunk cut": chunked + b"9\r\nabc",
+            "chunk without end": chunked + b"3\r\nabcXX0\r\n\r\n",
+            "signed chunk size": chunked + b"+3\r\nabc\r\n0\r\n\r\n",
+            "hexadecimal prefix": chunked + b"0x3\r\nabc\r\n0\r\n\r\n",
+            "no length": head + b"\r\nabc",
+            "two lengths": head + b"Content-Length: 3\r\n" * 2 + b"\r\nabc",
+            "length and chunks": head
+            + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+            "unknown coding": head + b"Transfer-Encoding: gzip\r\n\r\nabc",
+            "negative length": head + b"Content-Length: -1\r\n\r\n",
+            "folded header": head + b"X: a\r\n b\r\nContent-Length: 0\r\n\r\n",
+            "bare line feed": head + b"X: a\nContent-Length: 0\r\n\r\n",
+            "protocol switch": b"HTTP/1.1 101 Switching\r\n\r\n",
+            "other protocol": b"SSH-2.0 x\r\n",
+            "too large": head + b"Content-Length: %d\r\n\r\n" % (MAX_ANSWER_BYTES + 1),
+            "large headers": head + b"X: " + b"x" * (65 << 10) + b"\r\n\r\n",
+        }
+        for name, content in replies.items():
+            with self.subTest(name):
+                self.start(lambda *_, c=content: Reply(content=c, close=True))
+                error = self.fail(idempotent=False)
+                self.assertTrue(error.sent)
+                self.assertEqual(
+                    self.transport.connections(self.upstream.address).open, 0
+                )
+
+    def test_whole_answers(self):
+        cases = {
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n2;a=b\r\nde\r\n0\r\nX-Sum: 1\r\n\r\n": b"abcde",
+            b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+            + OK: b"ok",
+            b"HTTP/1.1 204 No Content\r\n\r\n": b"",
+            b"HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n": b"",
+        }
+        for content, body in cases.items():
+            with self.subTest(content):
+                self.start(lambda *_, c=content: c)
+                for _ in range(2):
+                    self.assertEqual(self.exchange().body, body)
+                self.assertEqual(self.server.connections, 1)
+
+    def test_head_has_no_body(self):
+        self.start(lambda *_: b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")
+        for _ in range(2):
+            answer = self.exchange(method="HEAD")
+            self.assertEqual(answer.body, b"")
+            self.assertEqual(answer.header("Content-Length"), "9")
+        self.assertEqual(self.server.connections, 1)
+
+    def test_repeated_headers_are_kept_and_hop_by_hop_removed(self):
+        self.start(
+            lambda *_: (
+                b"HTTP/1.1 200 OK\r\nSet-Cookie: a\r\nSet-Cookie: b\r\n"
+                b"Connection: x-hop\r\nX-Hop: 1\r\nContent-Length: 0\r\n\r\n"
+            )
+        )
+        headers = self.exchange().headers
+        self.assertEqual(headers, (("Set-Cookie", "a"), ("Set-Cookie", "b")))
+
+    def test_remaining_time_is_sent(self):
+        self.start(lambda *_: OK)
+        self.exchange(within_ms=LATER_MS)
+        line = self.server.requests[0].partition(b"Deadline-Ms: ")[2]
+        self.assertLessEqual(int(line.partition(b"\r\n")[0]), LATER_MS)
+
+
+class TestConnectionReuse(TransportCase):
+    """A connection whose exchange did not end cleanly is not used again."""
+
+    def test_unclean_ends(self):
+        """A late or stray answer must not be matched to the next request."""
+        replies = {
+            "extra bytes": OK + OK,
+            "closed by header": OK.replace(b"OK\r\n", b"OK\r\nConnection: close\r\n"),
+            "HTTP/1.0": OK.replace(b"1.1", b"1.0"),
+        }
+        for name, content in replies.items():
+            with self.subTest(name):
+                self.start(lambda *_, c=content: c)
+                self.exchange()
+                self.exchange()
+                self.assertEqual(self.server.connections, 2)
+
+    def test_bytes_that_arrive_while_idle(self):
+        """An unasked answer on an idle connection belongs to nobody."""
+        self.start(lambda *_: OK)
+        self.exchange()
+        self.server._open[0].sendall(OK.replace(b"ok", b"no"))
+        self.assertEqual(self.exchange().body, b"ok")
+        self.assertEqual(self.server.connections, 2)
+        self.assertIn("closed-by-peer", self.events)
+
+    def test_timed_out_connection(self):
+        self.start(lambda connection, _: None if connection == 1 else OK)
+        self.assertTrue(self.fail(idempotent=False, within_ms=30.0).timed_out)
+        self.assertEqual(self.exchange().body, b"ok")
+        self.assertEqual(self.server.connections, 2)
+
+    def test_trickling_answer_ends_at_the_deadline(self):
+        """Bytes that keep arriving must not extend the deadline."""
+        stop = threading.Event()
+        self.addCleanup(stop.set)
+
+        def trickle(connection, _):
+            def send():
+                while not stop.wait(0.01):
+                    self.server._open[0].sendall(b"X: y\r\n")
+
+            threading.Thread(target=send, daemon=True).start()
+            return b"HTTP/1.1 200 OK\r\n"
+
+        self.start(trickle)
+        started = self.clock.now()
+        self.assertTrue(self.fail(idempotent=False, within_ms=60.0).timed_out)
+        self.assertLess(self.clock.now() - started, LATER_MS / 5)
+
+    def test_library_never_resends(self):
+        """A lost connection must not make http.client send a booking twice."""
+        self.start(
+            lambda _, request: OK if request == 1 else Reply(content=b"", close=1)
+        )
+        self.exchange(method="POST", idempotent=False)
+        error = self.fail(method="POST", idempotent=False)
+        self.assertTrue(error.sent)
+        self.assertEqual(len(self.server.requests), 2)
+        connection = self.transport.connections(self.upstream.address).open_new()
+        with self.assertRaises(http.client.NotConnected):
+            connection.send(b"x")
+
+    def test_lost_old_connection_is_replaced_for_idempotent_requests(self):
+        self.start(
+            lambda connection, request: (
+                OK
+                if (connection, request) != (1, 2)
+                else Reply(content=b"", close=True)
+            )
+        )
+        self.exchange()
+        self.assertEqual(self.exchange().body, b"ok")
+        self.assertEqual(self.events.count("retried-lost"), 1)
+
+    def test_refused_connection_is_certainly_not_sent(self):
+        self.start(lambda *_: OK)
+        self.server.close()
+        self.assertFalse(self.fail(idempotent=False).sent)
+
+    def test_passed_deadline_is_certainly_not_sent(self):
+        self.start(lambda *_: OK)
+        self.assertFalse(self.fail(within_ms=-1.0).sent)
+        self.assertEqual(self.server.requests, [])
+
+
+class TestSilentConnections(TransportCase):
+    """The peer stops answering on old connections while new ones work."""
+
+    def test_idempotent_request_is_answered_long_before_its_deadline(self):
+        """A silent connection must not cost the whole deadline."""
+        silent = threading.Event()
+        self.start(
+            lambda connection, _: None if silent.is_set() and connection <= 2 else OK
+        )
+        pool = self.transport.connections(self.upstream.address)
+        for connection in (pool.open_new(), pool.open_new()):
+            connection.connect()
+            pool.check_in(connection)
+        self.exchange()
+        silent.set()
+        started = self.clock.now()
+        self.assertEqual(self.exchange(within_ms=LATER_MS).body, b"ok")
+        self.assertLess(self.clock.now() - started, LATER_MS / 5)
+        self.assertEqual(self.events.count("silent"), 1)
+        self.assertEqual(pool.open, 1, "the other old connection is closed")
+
+    def test_slow_upstream_is_probed_less(self):
+        """A general slowdown must not double the upstream's load for long."""
+        slow = threading.Event()
+
+        def script(*_):
+            if slow.is_set():
+                self.clock.sleep(120.0)
+            return OK
+
+        self.start(script)
+        for _ in range(20):
+            self.exchange()
+        slow.set()
+        probe = self.transport.connections(self.upstream.address).probe
+        before = probe.timeout_ms
+        self.exchange(within_ms=LATER_MS)
+        self.assertGreater(probe.timeout_ms, 2 * before)
+        self.assertNotIn("silent", self.events)
+
+    def test_non_idempotent_request_is_not_repeated(self):
+        """Silence does not prove that a booking did not run."""
+        self.start(lambda _, request: OK if request == 1 else None)
+        self.exchange(idempotent=False)
+        error = self.fail(idempotent=False, within_ms=80.0)
+        self.assertTrue(error.sent and error.timed_out)
+        self.assertEqual(len(self.server.requests), 2)
+
+
+class TestCancellation(TransportCase):
+    """An exchange ends at once when nobody wants the answer."""
+
+    def test_cancel_closes_the_upstream_connection(self):
+        self.start(lambda *_: None)
+        cancellation = Cancellation()
+        timer = threading.Timer(0.02, cancellation.cancel)
+        timer.start()
+        self.addCleanup(timer.join)
+        error = self.fail(within_ms=LATER_MS, cancellation=cancellation)
+        self.assertTrue(error.cancelled and error.sent)
+        self.assertTrue(self.server.ended.wait(1.0))
+
+    def test_cancelled_before_sending(self):
+        self.start(lambda *_: OK)
+        cancellation = Cancellation()
+        cancellation.cancel()
+        self.assertFalse(self.fail(cancellation=cancellation).sent)
+        self.assertEqual(self.server.requests, [])
+
+    def test_late_cancel_does_not_touch_the_reused_connection(self):
+        """The loser's cancellation must not end another caller's exchange."""
+        self.start(lambda *_: OK)
+        cancellation = Cancellation()
+        self.exchange(cancellation=cancellation)
+        cancellation.cancel()
+        self.exchange()
+        self.assertEqual(self.server.connections, 1)
+
+
+class TestConnectionShare(TransportCase):
+    """Each entry opens its share of the pool's connections."""
+
+    def test_share_is_a_limit(self):
+        self.start(lambda *_: OK)
+        pool = Pool(
+            name="p", department="d", upstreams=(self.upstream,), max_connections=4
+        )
+        self.transport.update_tables(Tables(pools={"p": pool}), entries=2)
+        connections = self.transport.connections(self.upstream.address)
+        for _ in range(2):
+            connections.open_new()
+        self.assertFalse(self.fail().sent)
+        self.assertEqual(self.events.count("limit"), 1)
+
+    def test_removed_upstream_keeps_no_connections(self):
+        self.start(lambda *_: OK)
+        self.exchange()
+        connections = self.transport.connections(self.upstream.address)
+        self.transport.update_tables(Tables())
+        self.assertEqual(connections.open, 0)
