State not-run only when it is certain, and cancel, hedge and settle in the relay

Cause: the relay ignored the upstream's certificate and the caller's deadline header, passed a bare 503 of a booking on without an outcome, kept running lookups whose caller was gone, and leaked the slot and the at-most-once record on an unexpected error.

Change: outcome rules are small functions in entry/outcomes.py. The caller's deadline header shortens the deadline; an assignment is checked again after the wait (Dispatcher.is_stale, deadline). A caller's hang-up cancels idempotent attempts only. Slow idempotent attempts are hedged where Dispatcher.may_hedge allows. Any exception becomes a 500 with outcome unknown, with the slot released and the record settled. Headers between upstream and entry are not passed to the caller. Where a retry finds no upstream, the caller gets the outcome of the earlier attempt instead of the queue's refusal.

Conclusion: every way out of a request states its outcome and releases what it held.

--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -299,8 +299,6 @@
             outbuf_high_watermark=OUTPUT_LIMIT_BYTES,
             clear_untrusted_proxy_headers=False,
             channel_request_lookahead=1,
-            # Write to the socket at once instead of waking a loop to do it.
-            send_bytes=1,
         )
         self._server = ConnectionServer(handler, limit=workers, adj=adjustments)
         self._thread = None
--- a/src/monsoonline/core/dispatch.py
+++ b/src/monsoonline/core/dispatch.py
@@ -103,6 +103,18 @@
         """
         return attempts <= route.tolerance.retries
 
+    def is_stale(self, assignment):
+        """Tell whether the upstream was marked as leaving after :meth:`acquire`."""
+        return assignment.upstream.address in self._leaving
+
+    def may_hedge(self, route):
+        """Tell whether the budget allows a duplicate attempt now."""
+        return route.idempotent and route.tolerance.hedges > 0
+
+    def hedge_delay_ms(self, route):
+        """Return how long an attempt runs before it is hedged."""
+        return route.success.latency_ms / 2
+
     def _choose(self, pool_name, excluded):
         pool = self._pools.get(pool_name)
         if pool is None:
--- /dev/null
+++ b/src/monsoonline/entry/outcomes.py
@@ -0,0 +1,225 @@
+"""What the attempts of a request say about whether it ran, and what to answer."""
+
+import dataclasses
+import math
+import re
+
+import orjson
+
+from monsoonline.core.model import RefusalMeaning
+from monsoonline.errors import Refusal
+from monsoonline.types import (
+    Answer,
+    AttemptKind,
+    AttemptResult,
+    LoadReport,
+    Outcome,
+)
+
+__all__ = [
+    "Attempt",
+    "History",
+    "answer_kind",
+    "failure_kind",
+    "internal_refusal",
+    "parse_load",
+    "refusal_answer",
+]
+
+NOT_RUN_HEADER = "Monsoonline-Not-Run"
+OUTCOME_HEADER = "Monsoonline-Outcome"
+TOKEN_HEADER = "Monsoonline-Token"
+# Statements between this entry and its upstream, not for the caller.
+PRIVATE_HEADERS = frozenset(
+    (
+        "monsoonline-draining",
+        "monsoonline-load",
+        "monsoonline-not-run",
+        "monsoonline-outcome",
+    )
+)
+CALLER_GONE_STATUS = 499
+REFUSAL_STATUS = 400
+FAILURE_STATUS = 500
+WHOLE_SECONDS = re.compile(r"[0-9]{1,6}")
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Attempt:
+    """One attempt at an upstream.
+
+    :param result: what the dispatcher learns
+    :param may_have_run: whether the upstream may have run the request
+    :param answer: the whole answer, if there is one
+    """
+
+    result: AttemptResult
+    may_have_run: bool
+    answer: Answer | None = None
+
+    @property
+    def succeeded(self):
+        """Whether the answer goes to the caller without another attempt."""
+        return self.result.kind is AttemptKind.SUCCEEDED
+
+
+def parse_load(answer):
+    """Return the :class:`LoadReport` of an answer, or ``None``."""
+    text = answer.header("Monsoonline-Load")
+    if text is None:
+        return None
+    try:
+        pairs = dict(part.strip().split("=", 1) for part in text.split(";"))
+        return LoadReport(
+            in_flight=int(pairs["in-flight"]),
+            slots=int(pairs["slots"]),
+            queued=int(pairs.get("queued", 0)),
+        )
+    except (KeyError, ValueError):
+        return None
+
+
+def answer_kind(answer, *, refusal_means):
+    """Classify a whole answer.
+
+    :param answer: the upstream's :class:`monsoonline.types.Answer`
+    :param refusal_means: the pool's :class:`RefusalMeaning`
+    :returns: ``SHED`` only for a refusal with a certificate that the pool trusts
+    """
+    if answer.status < REFUSAL_STATUS:
+        return AttemptKind.SUCCEEDED
+    certified = answer.header(NOT_RUN_HEADER) == "true"
+    if certified and refusal_means == RefusalMeaning.NOT_RUN:
+        return AttemptKind.SHED
+    if answer.status >= FAILURE_STATUS:
+        return AttemptKind.FAILED_ANSWER
+    return AttemptKind.SUCCEEDED
+
+
+def failure_kind(error):
+    """Classify an :class:`ExchangeFailed`."""
+    if error.cancelled:
+        return AttemptKind.CANCELLED
+    if not error.sent:
+        return AttemptKind.CONNECT_FAILED
+    if error.timed_out:
+        return AttemptKind.TIMED_OUT
+    return AttemptKind.CONNECTION_LOST
+
+
+def public_answer(answer, *, outcome=None):
+    """Return an upstream's answer as the caller may see it.
+
+    :param outcome: :class:`Outcome` to state, ``None`` for none
+    """
+    headers = tuple(
+        pair for pair in answer.headers if pair[0].lower() not in PRIVATE_HEADERS
+    )
+    if outcome is not None:
+        headers = (*headers, (OUTCOME_HEADER, outcome.value))
+    return dataclasses.replace(answer, headers=headers)
+
+
+def refusal_answer(refusal, *, token=None):
+    """Return the HTTP answer that tells a caller of a refusal."""
+    headers = [
+        ("Content-Type", "application/json"),
+        (OUTCOME_HEADER, refusal.outcome.value),
+    ]
+    if token is not None:
+        headers.append((TOKEN_HEADER, token))
+    if refusal.retry_after_ms is not None:
+        headers.append(("Retry-After", str(math.ceil(refusal.retry_after_ms / 1e3))))
+    body = orjson.dumps(
+        {
+            "outcome": refusal.outcome.value,
+            "code": refusal.code,
+            "message": refusal.message,
+        }
+    )
+    return Answer(status=refusal.status, headers=tuple(headers), body=body)
+
+
+def internal_refusal():
+    """Return the refusal for an unexpected error; the request may have run."""
+    return Refusal(
+        "unexpected error in the entry",
+        code="internal-error",
+        outcome=Outcome.UNKNOWN,
+        status=500,
+    )
+
+
+class History:
+    """The attempts of one request so far.
+
+    :param idempotent: whether the request may run more than once
+    """
+
+    def __init__(self, *, idempotent):
+        self._idempotent = idempotent
+        self._attempts = 0
+        self._may_have_run = False
+        self._last = None
+        self._excluded = frozenset()
+
+    @property
+    def attempts(self):
+        """Number of attempts."""
+        return self._attempts
+
+    @property
+    def excluded(self):
+        """Addresses that were tried."""
+        return self._excluded
+
+    @property
+    def repeatable(self):
+        """Whether another attempt cannot run the request a second time."""
+        if self._last.result.kind is AttemptKind.CANCELLED:
+            return False
+        return self._idempotent or not self._may_have_run
+
+    def begin(self, address):
+        """Record that an attempt at an upstream begins.
+
+        Until its end is recorded, the request may have run.
+        """
+        self._attempts += 1
+        self._excluded |= {address}
+
+    def add(self, attempt):
+        """Record the end of an attempt."""
+        self._last = attempt
+        self._may_have_run = self._may_have_run or attempt.may_have_run
+
+    def conclude(self):
+        """Return the answer to the caller when no further attempt is made.
+
+        :raises Refusal: when no answer may be passed on
+        """
+        kind = self._last.result.kind
+        if kind is AttemptKind.SUCCEEDED:
+            return public_answer(self._last.answer)
+        if kind is AttemptKind.FAILED_ANSWER:
+            return public_answer(self._last.answer, outcome=Outcome.UNKNOWN)
+        raise Refusal(
+            f"the last of {self._attempts} attempts ended with {kind.value}",
+            code="caller-gone" if kind is AttemptKind.CANCELLED else kind.value,
+            outcome=Outcome.UNKNOWN if self._may_have_run else Outcome.NOT_RUN,
+            status=self._status(kind),
+            retry_after_ms=self._retry_after_ms(),
+        )
+
+    @staticmethod
+    def _status(kind):
+        return {
+            AttemptKind.TIMED_OUT: 504,
+            AttemptKind.SHED: 503,
+            AttemptKind.CANCELLED: CALLER_GONE_STATUS,
+        }.get(kind, 502)
+
+    def _retry_after_ms(self):
+        answer = self._last.answer
+        value = answer.header("Retry-After") if answer else None
+        return int(value) * 1e3 if value and WHOLE_SECONDS.fullmatch(value) else None
--- a/src/monsoonline/entry/relay.py
+++ b/src/monsoonline/entry/relay.py
@@ -1,26 +1,35 @@
 """The path of one request from the caller to an upstream and back."""
 
+import concurrent.futures
 import hashlib
-import math
-
-import orjson
+import logging
+import re
 
+from monsoonline.adapters.cancellation import Cancellation
 from monsoonline.adapters.http_upstream import ExchangeFailed
-from monsoonline.errors import Refusal
-from monsoonline.types import (
-    Answer,
-    AttemptKind,
-    AttemptResult,
-    LoadReport,
-    Outcome,
+from monsoonline.core.model import RefusalMeaning
+from monsoonline.core.routing import RouteTable
+from monsoonline.entry.outcomes import (
+    Attempt,
+    History,
+    answer_kind,
+    failure_kind,
+    internal_refusal,
+    parse_load,
+    refusal_answer,
 )
+from monsoonline.errors import Refusal
+from monsoonline.types import AttemptKind, AttemptResult, Outcome
 
 __all__ = ["Relay"]
 
 KEY_HEADER = "Monsoonline-Key"
-TOKEN_HEADER = "Monsoonline-Token"
+DEADLINE_HEADER = "Monsoonline-Deadline-Ms"
+DEADLINE_VALUE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?")
 FINGERPRINT_BYTES = 16
-NOT_RUN_KINDS = frozenset((AttemptKind.CONNECT_FAILED, AttemptKind.SHED))
+HEDGE_THREADS = 256
+
+logger = logging.getLogger(__name__)
 
 
 def fingerprint_of(request):
@@ -32,40 +41,22 @@
     return digest.hexdigest()
 
 
-def parse_load(answer):
-    """Return the :class:`LoadReport` of an answer, or ``None``."""
-    text = answer.header("Monsoonline-Load")
-    if text is None:
-        return None
-    try:
-        pairs = dict(part.strip().split("=", 1) for part in text.split(";"))
-        return LoadReport(
-            in_flight=int(pairs["in-flight"]),
-            slots=int(pairs["slots"]),
-            queued=int(pairs.get("queued", 0)),
+def deadline_of(route, request, started):
+    """Return the instant in ms until which the caller waits.
+
+    :raises Refusal: when the caller's deadline header is not valid
+    """
+    value = request.header(DEADLINE_HEADER)
+    if value is None:
+        return started + route.deadline_ms
+    if not DEADLINE_VALUE.fullmatch(value):
+        raise Refusal(
+            f"{DEADLINE_HEADER} is {value!r}, expected milliseconds such as 250",
+            code="deadline-invalid",
+            outcome=Outcome.NOT_RUN,
+            status=400,
         )
-    except (KeyError, ValueError):
-        return None
-
-
-def refusal_answer(refusal, *, token=None):
-    """Return the HTTP answer that tells a caller of a refusal."""
-    headers = [
-        ("Content-Type", "application/json"),
-        ("Monsoonline-Outcome", refusal.outcome.value),
-    ]
-    if token is not None:
-        headers.append((TOKEN_HEADER, token))
-    if refusal.retry_after_ms is not None:
-        headers.append(("Retry-After", str(math.ceil(refusal.retry_after_ms / 1e3))))
-    body = orjson.dumps(
-        {
-            "outcome": refusal.outcome.value,
-            "code": refusal.code,
-            "message": refusal.message,
-        }
-    )
-    return Answer(status=refusal.status, headers=tuple(headers), body=body)
+    return started + min(route.deadline_ms, float(value))
 
 
 class Relay:
@@ -84,32 +75,43 @@
         self._ledger = ledger
         self._transport = transport
         self._metrics = metrics
-        self._route_table = None
+        self._route_table = RouteTable(routes=())
+        self._pools = {}
+        self._hedges = concurrent.futures.ThreadPoolExecutor(
+            max_workers=HEDGE_THREADS, thread_name_prefix="hedge"
+        )
 
-    def use_routes(self, route_table):
-        """Use the routes of newly accepted tables."""
-        self._route_table = route_table
+    def use_tables(self, tables):
+        """Use the routes and pools of newly accepted tables."""
+        self._pools = tables.pools
+        self._route_table = RouteTable(routes=tables.routes.values())
 
     def handle(self, request):
-        """Answer one request; never raises a :class:`Refusal`."""
+        """Answer one request; never raises an ordinary exception."""
         started = self._clock.now()
-        route = self._route_table.match(request) if self._route_table else None
+        route = self._route_table.match(request)
         name = route.name if route else ""
         try:
             answer = self._serve(route, request, started)
         except Refusal as refusal:
-            self._metrics.count(
-                "refusals_total",
-                route=name,
-                code=refusal.code,
-                outcome=refusal.outcome.value,
-            )
-            answer = refusal_answer(refusal, token=self._ledger.token())
+            answer = self._refuse(name, refusal)
+        except Exception:
+            logger.exception("request failed", extra={"route": name})
+            answer = self._refuse(name, internal_refusal())
         elapsed = self._clock.now() - started
         self._metrics.count("requests_total", route=name, status=str(answer.status))
         self._metrics.observe("request_ms", elapsed, route=name)
         return answer
 
+    def _refuse(self, name, refusal):
+        self._metrics.count(
+            "refusals_total",
+            route=name,
+            code=refusal.code,
+            outcome=refusal.outcome.value,
+        )
+        return refusal_answer(refusal, token=self._ledger.token())
+
     def _serve(self, route, request, started):
         if route is None:
             raise Refusal(
@@ -118,9 +120,9 @@
                 outcome=Outcome.NOT_RUN,
                 status=404,
             )
-        deadline = started + route.deadline_ms
+        deadline = deadline_of(route, request, started)
         if route.idempotent:
-            return self._run(route, request, deadline)
+            return self._run(route, request, deadline, fingerprint_of(request))
         return self._run_once(route, request, deadline)
 
     def _run_once(self, route, request, deadline):
@@ -132,96 +134,152 @@
                 outcome=Outcome.NOT_RUN,
                 status=428,
             )
-        recorded = self._ledger.begin(key, fingerprint_of(request), deadline=deadline)
+        fingerprint = fingerprint_of(request)
+        recorded = self._ledger.begin(key, fingerprint, deadline=deadline)
         if recorded is not None:
             return recorded
+        # The record is settled whatever happens, or resends would wait for ever.
         try:
-            answer = self._run(route, request, deadline)
+            answer = self._run(route, request, deadline, fingerprint)
         except Refusal as refusal:
             if refusal.outcome is Outcome.NOT_RUN:
                 self._ledger.release_not_run(key)
             else:
                 self._ledger.finish(key, refusal_answer(refusal))
             raise
+        except BaseException:
+            self._ledger.finish(key, refusal_answer(internal_refusal()))
+            raise
         self._ledger.finish(key, answer)
         return answer
 
-    def _run(self, route, request, deadline):
-        excluded = frozenset()
-        attempts = 0
-        may_have_run = False
+    def _run(self, route, request, deadline, fingerprint):
+        history = History(idempotent=route.idempotent)
         while True:
-            attempts += 1
             try:
-                assignment = self._dispatcher.acquire(
-                    route, deadline=deadline, excluded=excluded
-                )
-            except Refusal as refusal:
-                raise self._with_history(refusal, may_have_run) from None
-            result, answer = self._attempt(route, request, assignment, deadline)
-            if answer is not None:
-                return answer
-            may_have_run = may_have_run or result.kind not in NOT_RUN_KINDS
-            repeatable = route.idempotent or not may_have_run
-            if not repeatable or not self._dispatcher.may_retry(
-                route, attempts=attempts, result=result
-            ):
-                raise self._exhausted(result, may_have_run)
-            excluded |= {assignment.upstream.address}
-
-    def _attempt(self, route, request, assignment, deadline):
+                assignment = self._acquire(route, deadline, fingerprint, history)
+            except Refusal:
+                # The earlier attempt says more than that no other was possible.
+                if history.attempts:
+                    return history.conclude()
+                raise
+            history.begin(assignment.upstream.address)
+            if route.idempotent and route.tolerance.hedges:
+                attempt = self._hedged(route, request, assignment, deadline, history)
+            else:
+                attempt = self._attempt(route, request, assignment, deadline)
+            history.add(attempt)
+            if attempt.succeeded or not self._retry(route, attempt, deadline, history):
+                return history.conclude()
+            self._metrics.count("retries_total", route=route.name)
+
+    def _retry(self, route, attempt, deadline, history):
+        return (
+            history.repeatable
+            and self._clock.now() < deadline
+            and self._dispatcher.may_retry(
+                route, attempts=history.attempts, result=attempt.result
+            )
+        )
+
+    def _acquire(self, route, deadline, fingerprint, history):
+        """Wait for an upstream that is still wanted when the wait has ended."""
+        while self._clock.now() < deadline:
+            assignment = self._dispatcher.acquire(
+                route,
+                deadline=deadline,
+                excluded=history.excluded,
+                fingerprint=fingerprint,
+            )
+            stale = self._dispatcher.is_stale(assignment)
+            if not stale and self._clock.now() < deadline:
+                return assignment
+            unused = AttemptResult(kind=AttemptKind.CANCELLED, latency_ms=0.0)
+            self._dispatcher.release(assignment, unused)
+            self._metrics.count("stale_assignments_total", route=route.name)
+        raise Refusal(
+            "the deadline passed before an upstream was free",
+            code="deadline",
+            outcome=Outcome.NOT_RUN,
+            status=504,
+        )
+
+    def _attempt(self, route, request, assignment, deadline, cancellation=None):
         started = self._clock.now()
-        answer = None
-        load = None
-        draining = False
+        result = AttemptResult(kind=AttemptKind.CONNECTION_LOST, latency_ms=0.0)
+        try:
+            attempt = self._exchange(
+                route, request, assignment, deadline, cancellation, started
+            )
+            result = attempt.result
+            return attempt
+        finally:
+            self._dispatcher.release(assignment, result)
+
+    def _exchange(self, route, request, assignment, deadline, cancellation, started):
+        if route.idempotent:
+            cancellation = cancellation or request.cancellation
         try:
             answer = self._transport.exchange(
                 assignment.upstream,
                 request,
                 deadline=deadline,
                 idempotent=route.idempotent,
+                cancellation=cancellation,
             )
-            kind = AttemptKind.SUCCEEDED if answer.status < 500 else None
-            kind = kind or AttemptKind.FAILED_ANSWER
-            load = parse_load(answer)
-            draining = answer.header("Monsoonline-Draining") == "true"
         except ExchangeFailed as error:
-            kind = self._failure_kind(error)
+            latency_ms = self._clock.now() - started
+            result = AttemptResult(kind=failure_kind(error), latency_ms=latency_ms)
+            return Attempt(result=result, may_have_run=error.sent)
+        pool = self._pools.get(route.pool)
+        means = pool.refusal_means if pool else RefusalMeaning.UNKNOWN
+        kind = answer_kind(answer, refusal_means=means)
         result = AttemptResult(
             kind=kind,
             latency_ms=self._clock.now() - started,
-            load=load,
-            draining=draining,
+            load=parse_load(answer),
+            draining=answer.header("Monsoonline-Draining") == "true",
         )
-        self._dispatcher.release(assignment, result)
-        return result, answer
+        ran = kind is not AttemptKind.SHED
+        return Attempt(result=result, may_have_run=ran, answer=answer)
 
-    @staticmethod
-    def _failure_kind(error):
-        if not error.sent:
-            return AttemptKind.CONNECT_FAILED
-        if error.timed_out:
-            return AttemptKind.TIMED_OUT
-        return AttemptKind.CONNECTION_LOST
+    def _hedged(self, route, request, assignment, deadline, history):
+        """Run an attempt, and a duplicate of it when it takes long."""
+        legs = {}
+        self._start_leg(legs, route, request, assignment, deadline)
+        delay_ms = self._dispatcher.hedge_delay_ms(route)
+        for _ in range(route.tolerance.hedges):
+            done, _ = concurrent.futures.wait(legs, timeout=delay_ms / 1e3)
+            if done or not self._dispatcher.may_hedge(route):
+                break
+            try:
+                second = self._dispatcher.acquire(
+                    route, deadline=self._clock.now(), excluded=history.excluded
+                )
+            except Refusal:
+                # A hedge uses free slots only, so it never waits in the queue.
+                break
+            history.begin(second.upstream.address)
+            self._metrics.count("hedges_total", route=route.name)
+            self._start_leg(legs, route, request, second, deadline)
+        return self._first_success(legs)
 
-    @staticmethod
-    def _with_history(refusal, may_have_run):
-        if not may_have_run:
-            return refusal
-        return Refusal(
-            refusal.message,
-            code=refusal.code,
-            outcome=Outcome.UNKNOWN,
-            status=refusal.status,
-            retry_after_ms=refusal.retry_after_ms,
+    def _start_leg(self, legs, route, request, assignment, deadline):
+        caller = request.cancellation.caller if request.cancellation else None
+        cancellation = Cancellation(caller=caller)
+        leg = self._hedges.submit(
+            self._attempt, route, request, assignment, deadline, cancellation
         )
+        legs[leg] = cancellation
 
     @staticmethod
-    def _exhausted(result, may_have_run):
-        timed_out = result.kind is AttemptKind.TIMED_OUT
-        return Refusal(
-            f"the last attempt ended with {result.kind.value}",
-            code=result.kind.value,
-            outcome=Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN,
-            status=504 if timed_out else 502,
-        )
+    def _first_success(legs):
+        """Return the first success, or the last attempt; cancel the others."""
+        for leg in concurrent.futures.as_completed(legs):
+            attempt = leg.result()
+            if attempt.succeeded:
+                break
+        for leg, cancellation in legs.items():
+            if not leg.done():
+                cancellation.cancel()
+        return attempt
--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -11,7 +11,6 @@
 from monsoonline.clock import SystemClock
 from monsoonline.core.dispatch import Dispatcher
 from monsoonline.core.ledger import Ledger
-from monsoonline.core.routing import RouteTable
 from monsoonline.entry.discovery import Discovery
 from monsoonline.entry.relay import Relay
 from monsoonline.errors import StoreUnavailable
@@ -43,11 +42,14 @@
         self._platform = PlatformClient(
             url=settings.platform.url, timeout_ms=settings.platform.timeout_ms
         )
+        self._transport = HttpUpstreamTransport(
+            clock=self._clock, count=self._metrics.connection_event
+        )
         self._relay = Relay(
             clock=self._clock,
             dispatcher=self._dispatcher,
             ledger=self._ledger,
-            transport=HttpUpstreamTransport(clock=self._clock),
+            transport=self._transport,
             metrics=self._metrics,
         )
         self._discovery = Discovery(
@@ -109,6 +111,7 @@
         self._stopping.set()
         self._callers.close()
         self._operations.close()
+        self._transport.close()
 
     def _poll(self):
         while not self._stopping.wait(POLL_INTERVAL_MS / 1e3):
@@ -122,7 +125,8 @@
             return
         if self._tables is None or tables.revision > self._tables.revision:
             self._dispatcher.update_tables(tables)
-            self._relay.use_routes(RouteTable(routes=tables.routes.values()))
+            self._transport.update_tables(tables, entries=len(self.members()))
+            self._relay.use_tables(tables)
             self._tables = tables
             self._metrics.gauge("revision", tables.revision)
             logger.info("tables in effect", extra={"revision": tables.revision})
--- /dev/null
+++ b/tests/entry/test_relay.py
@@ -0,0 +1,326 @@
+"""Tests of the request path with scripted upstreams."""
+
+import socket
+import threading
+import time
+import unittest
+from unittest import mock
+
+import orjson
+
+from monsoonline.adapters.http_server import HttpServer
+from monsoonline.adapters.http_upstream import HttpUpstreamTransport
+from monsoonline.clock import SystemClock
+from monsoonline.core.dispatch import Dispatcher
+from monsoonline.core.ledger import Ledger
+from monsoonline.core.model import (
+    Pool,
+    RefusalMeaning,
+    Route,
+    RouteMatch,
+    Tables,
+    Tolerance,
+    Upstream,
+)
+from monsoonline.entry.relay import Relay
+from monsoonline.metrics import Metrics
+from monsoonline.types import Request
+from tests.adapters.scripted_upstream import OK, Reply, ScriptedUpstream
+
+CUT = Reply(content=b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", close=True)
+BARE_503 = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+CERTIFIED_503 = (
+    b"HTTP/1.1 503 Busy\r\nMonsoonline-Not-Run: true\r\nRetry-After: 2\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+TIMEOUT_SECONDS = 5.0
+
+
+class RelayCase(unittest.TestCase):
+    """A relay with a lookup and a booking route to scripted upstreams."""
+
+    def start(self, *scripts, means=RefusalMeaning.NOT_RUN, hedges=0):
+        """Start one upstream for each script; the first is preferred."""
+        self.clock = SystemClock()
+        self.metrics = Metrics()
+        self.ledger = Ledger(clock=self.clock)
+        self.dispatcher = Dispatcher(clock=self.clock)
+        self.released = []
+        release = self.dispatcher.release
+        self.dispatcher.release = lambda assignment, result: (
+            self.released.append(result.kind.value),
+            release(assignment, result),
+        )
+        self.transport = HttpUpstreamTransport(clock=self.clock)
+        self.addCleanup(self.transport.close)
+        self.servers = [ScriptedUpstream(script=script) for script in scripts]
+        for server in self.servers:
+            self.addCleanup(server.close)
+        self.relay = Relay(
+            clock=self.clock,
+            dispatcher=self.dispatcher,
+            ledger=self.ledger,
+            transport=self.transport,
+            metrics=self.metrics,
+        )
+        tables = self.tables(means, hedges)
+        self.dispatcher.update_tables(tables)
+        self.relay.use_tables(tables)
+
+    def tables(self, means, hedges):
+        upstreams = tuple(
+            Upstream(address=server.address, failure_domain="a", slots=3)
+            for server in self.servers
+        )
+        pool = Pool(name="p", department="d", upstreams=upstreams, refusal_means=means)
+        routes = (
+            self.route("lookup", True, hedges),
+            self.route("booking", False, hedges),
+        )
+        return Tables(pools={"p": pool}, routes={route.name: route for route in routes})
+
+    @staticmethod
+    def route(name, idempotent, hedges):
+        return Route(
+            name=name,
+            department="d",
+            pool="p",
+            match=RouteMatch(path_prefix=f"/{name}"),
+            idempotent=idempotent,
+            deadline_ms=2000.0,
+            tolerance=Tolerance(hedges=hedges),
+        )
+
+    def lookup(self, *headers):
+        return self.relay.handle(
+            Request(method="GET", host="a", target="/lookup", headers=headers)
+        )
+
+    def book(self, nonce="1"):
+        key = f"{self.ledger.token()}.{nonce}"
+        return self.relay.handle(
+            Request(
+                method="POST",
+                host="a",
+                target="/booking",
+                headers=(("Monsoonline-Key", key),),
+            )
+        )
+
+    def runs(self):
+        return [len(server.requests) for server in self.servers]
+
+    def assert_refused(self, answer, status, outcome):
+        self.assertEqual(answer.status, status)
+        self.assertEqual(answer.header("Monsoonline-Outcome"), outcome)
+
+
+class TestOutcomes(RelayCase):
+    """Not-run is stated only when it is certain."""
+
+    def test_cut_answer_is_unknown(self):
+        """A part of an answer must not reach the caller, nor the booking run twice."""
+        self.start(lambda *_: CUT, lambda *_: OK)
+        for _ in range(2):
+            self.assert_refused(self.book(), 502, "unknown")
+        self.assertEqual(self.runs(), [1, 0])
+
+    def test_cut_answer_of_a_lookup_is_retried(self):
+        self.start(lambda *_: CUT, lambda *_: OK)
+        self.assertEqual(self.lookup().body, b"ok")
+        self.assertEqual(self.runs(), [1, 1])
+
+    def test_bare_503_is_unknown(self):
+        """An intermediary's 503 does not prove that the booking did not run."""
+        self.start(lambda *_: BARE_503, lambda *_: OK)
+        for _ in range(2):
+            self.assert_refused(self.book(), 503, "unknown")
+        self.assertEqual(self.runs(), [1, 0])
+
+    def test_certified_refusal_is_not_run(self):
+        self.start(lambda *_: CERTIFIED_503)
+        answer = self.book()
+        self.assert_refused(answer, 503, "not-run")
+        self.assertEqual(answer.header("Retry-After"), "2")
+        self.book()
+        self.assertEqual(self.runs(), [2], "the same key may run again")
+
+    def test_certified_refusal_is_retried_elsewhere(self):
+        self.start(lambda *_: CERTIFIED_503, lambda *_: OK)
+        self.assertEqual(self.book().body, b"ok")
+        self.assertEqual(self.runs(), [1, 1])
+
+    def test_certificate_counts_only_where_the_pool_says_so(self):
+        self.start(
+            lambda *_: CERTIFIED_503, lambda *_: OK, means=RefusalMeaning.UNKNOWN
+        )
+        answer = self.book()
+        self.assert_refused(answer, 503, "unknown")
+        self.assertIsNone(answer.header("Monsoonline-Not-Run"))
+        self.assertEqual(self.runs(), [1, 0])
+
+    def test_refused_connection_is_not_run(self):
+        self.start(lambda *_: OK)
+        self.servers[0].close()
+        self.assert_refused(self.book(), 502, "not-run")
+
+    def test_earlier_attempt_counts(self):
+        """A second attempt that was never sent does not undo the first one."""
+        self.start(lambda *_: CUT, lambda *_: OK)
+        self.servers[1].close()
+        self.assert_refused(self.lookup(), 502, "unknown")
+        self.assertEqual(self.released, ["connection-lost", "connect-failed"])
+
+    def test_upstream_cannot_state_the_outcome(self):
+        """A header of the upstream's own upstream is about another request."""
+        self.start(
+            lambda *_: OK.replace(b"OK\r\n", b"OK\r\nMonsoonline-Outcome: not-run\r\n")
+        )
+        self.assertIsNone(self.lookup().header("Monsoonline-Outcome"))
+
+
+class TestUnexpectedErrors(RelayCase):
+    """An unexpected error settles everything that was opened."""
+
+    def test_error_in_the_transport(self):
+        """A leaked slot or an open record would outlive the request."""
+        self.start(lambda *_: OK)
+        with (
+            mock.patch.object(self.transport, "exchange", side_effect=RuntimeError),
+            self.assertLogs("monsoonline.entry.relay", "ERROR"),
+        ):
+            self.assert_refused(self.book(), 500, "unknown")
+        self.assertEqual(self.released, ["connection-lost"])
+        self.assert_refused(self.book(), 500, "unknown")
+        self.assertEqual(self.runs(), [0])
+        self.assertEqual(
+            self.metrics.value(
+                "refusals_total",
+                route="booking",
+                code="internal-error",
+                outcome="unknown",
+            ),
+            1,
+        )
+
+
+class TestDeadlines(RelayCase):
+    """No work for an answer that comes too late."""
+
+    def test_caller_shortens_the_deadline(self):
+        self.start(lambda *_: None)
+        started = time.monotonic()
+        answer = self.lookup(("Monsoonline-Deadline-Ms", "60"))
+        self.assert_refused(answer, 504, "unknown")
+        self.assertLess(time.monotonic() - started, 1.0)
+        self.assertEqual(self.released, ["timed-out"])
+
+    def test_deadline_that_passed_sends_nothing(self):
+        self.start(lambda *_: OK)
+        answer = self.lookup(("Monsoonline-Deadline-Ms", "0"))
+        self.assert_refused(answer, 504, "not-run")
+        self.assertEqual(self.runs(), [0])
+
+    def test_invalid_deadline(self):
+        self.start(lambda *_: OK)
+        for value in ("soon", "-1", "nan", "1e9", ""):
+            with self.subTest(value):
+                answer = self.lookup(("Monsoonline-Deadline-Ms", value))
+                self.assert_refused(answer, 400, "not-run")
+
+    def test_upstream_that_began_to_leave_gets_nothing(self):
+        """A request that waited must not go to an upstream marked meanwhile."""
+        self.start(lambda *_: OK, lambda *_: OK)
+        acquire = self.dispatcher.acquire
+
+        def acquire_then_leave(*arguments, **options):
+            assignment = acquire(*arguments, **options)
+            self.dispatcher.set_leaving(self.servers[0].address, source="vm-list")
+            return assignment
+
+        with mock.patch.object(self.dispatcher, "acquire", acquire_then_leave):
+            self.assertEqual(self.lookup().body, b"ok")
+        self.assertEqual(self.runs(), [0, 1])
+        self.assertEqual(self.released, ["cancelled", "succeeded"])
+
+
+class TestCallerHangUp(RelayCase):
+    """What happens upstream when the caller is gone."""
+
+    def call_and_hang_up(self, method, path):
+        server = HttpServer(
+            handler=self.relay.handle, host="127.0.0.1", port=0, workers=4
+        )
+        server.start()
+        self.addCleanup(server.close)
+        host, _, port = server.address.partition(":")
+        caller = socket.create_connection((host, int(port)), TIMEOUT_SECONDS)
+        key = f"{self.ledger.token()}.1"
+        lines = f"{method} {path} HTTP/1.1\r\nHost: a\r\nMonsoonline-Key: {key}\r\n\r\n"
+        caller.sendall(lines.encode())
+        self.assertTrue(self.arrived.wait(TIMEOUT_SECONDS))
+        caller.close()
+
+    def script(self, *_):
+        self.arrived.set()
+        self.proceed.wait(TIMEOUT_SECONDS)
+        return OK
+
+    def setUp(self):
+        self.arrived, self.proceed = threading.Event(), threading.Event()
+
+    def wait_for(self, condition):
+        limit = time.monotonic() + TIMEOUT_SECONDS
+        while not condition() and time.monotonic() < limit:
+            time.sleep(0.002)
+        self.assertTrue(condition())
+
+    def test_lookup_is_cancelled(self):
+        """An upstream slot must not be held for an answer nobody reads."""
+        self.start(self.script)
+        self.call_and_hang_up("GET", "/lookup")
+        self.wait_for(lambda: self.released == ["cancelled"])
+        self.proceed.set()
+
+    def test_booking_runs_to_its_end_and_is_recorded(self):
+        """The caller's resend must get the answer that the first one missed."""
+        self.start(self.script)
+        self.call_and_hang_up("POST", "/booking")
+        time.sleep(0.02)
+        self.assertEqual(self.released, [])
+        self.proceed.set()
+        self.assertEqual(self.book().body, b"ok")
+        self.assertEqual(self.released, ["succeeded"])
+        self.assertEqual(self.runs(), [1])
+
+
+class TestHedges(RelayCase):
+    """A slow idempotent attempt is duplicated."""
+
+    def test_second_attempt_answers_and_the_first_is_cancelled(self):
+        self.start(lambda *_: None, lambda *_: OK, hedges=1)
+        with mock.patch.object(self.dispatcher, "hedge_delay_ms", lambda route: 20.0):
+            started = time.monotonic()
+            self.assertEqual(self.lookup().body, b"ok")
+        self.assertLess(time.monotonic() - started, 1.0)
+        self.assertTrue(self.servers[0].ended.wait(TIMEOUT_SECONDS))
+        self.assertEqual(self.released[0], "succeeded")
+        self.assertEqual(self.metrics.value("hedges_total", route="lookup"), 1)
+
+    def test_booking_is_never_hedged(self):
+        self.start(lambda *_: self.clock.sleep(60.0) or OK, lambda *_: OK, hedges=1)
+        with mock.patch.object(self.dispatcher, "hedge_delay_ms", lambda route: 1.0):
+            self.assertEqual(self.book().body, b"ok")
+        self.assertEqual(self.runs(), [1, 0])
+
+
+class TestRefusalBody(RelayCase):
+    """Programs can read a refusal."""
+
+    def test_body_names_outcome_and_code(self):
+        self.start(lambda *_: OK)
+        answer = self.relay.handle(Request(method="GET", host="a", target="/none"))
+        document = orjson.loads(answer.body)
+        self.assertEqual(
+            (document["outcome"], document["code"]), ("not-run", "no-route")
+        )
