--- a/src/monsoonline/core/ledger.py
+++ b/src/monsoonline/core/ledger.py
@@ -1,17 +1,92 @@
-"""At-most-once records of one entry incarnation."""
+"""At-most-once records of one entry incarnation.
+
+A key is ``<incarnation>-<window>.<random>``. Only the incarnation named in a key may
+start it, so no two entries ever disagree about who may run a request. Windows are
+counted on the incarnation's own monotonic clock; no clocks are compared.
+"""
 
 import dataclasses
+import enum
+import re
 import secrets
 import threading
 
 from monsoonline.errors import Refusal
-from monsoonline.types import Outcome
+from monsoonline.types import Answer, Outcome
 
-__all__ = ["Ledger", "Record"]
+__all__ = [
+    "AdoptedRecords",
+    "Key",
+    "KeyState",
+    "KeyStatus",
+    "Ledger",
+    "LedgerExport",
+    "LedgerLimits",
+    "Record",
+    "parse_key",
+]
 
 INCARNATION_BITS = 64
 WINDOW_MS = 60_000.0
 RETENTION_WINDOWS = 10
+# The pattern bounds what a caller can make the ledger store per key.
+KEY_PATTERN = re.compile(r"([0-9a-f]{16})-([0-9]{1,12})\.([A-Za-z0-9_-]{1,64})")
+KEY_FORMAT = "<token>.<random> with 1 to 64 letters, digits, '-' or '_'"
+# A tombstone shares no request's fingerprint.
+TOMBSTONE = "tombstone"
+
+
+class KeyState(enum.Enum):
+    """What the records say about a key."""
+
+    FINISHED = "finished"
+    RUNNING = "running"
+    NEVER_STARTED = "never-started"
+    EXPIRED = "expired"
+    MISMATCH = "mismatch"
+    UNDECIDED = "undecided"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KeyStatus:
+    """Reply to a query about a key.
+
+    :param state: what is known; only ``NEVER_STARTED`` promises that the key never
+        starts
+    :param answer: the recorded answer of a finished key
+    """
+
+    state: KeyState
+    answer: Answer | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Key:
+    """A parsed key.
+
+    :param incarnation: the only process that may start the key
+    :param window: number of the window in which its token was given out
+    """
+
+    incarnation: str
+    window: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LedgerLimits:
+    """Bounds of the memory that records take.
+
+    :param records: number of keys kept, running or finished
+    :param tombstones: number of tombstones; a limit of their own keeps queries for
+        keys that were never sent from taking the room of bookings
+    :param answer_bytes: largest recorded answer
+    :param total_answer_bytes: sum of all recorded answers
+    """
+
+    records: int = 50_000
+    tombstones: int = 5_000
+    answer_bytes: int = 64 << 10
+    total_answer_bytes: int = 16 << 20
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -19,12 +94,100 @@
     """State of one started key.
 
     :param fingerprint: digest of the request that started it
-    :param answer: the recorded answer, ``None`` while it runs
+    :param answer: the recorded answer, ``None`` while the request runs
+    :param released: whether the request certainly did not run
+    :param changed: created by the first resend that waits, since an event per
+        record would triple the memory
     """
 
     fingerprint: str
-    answer: object = None
-    done: threading.Event = dataclasses.field(default_factory=threading.Event)
+    answer: Answer | None = None
+    released: bool = False
+    changed: threading.Event | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LedgerExport:
+    """Records of a closed incarnation.
+
+    :param incarnation: whose records these are
+    :param window: the window in which it closed
+    :param finished: fingerprint and answer by key
+    :param running: keys whose outcome was not known at the export
+    """
+
+    incarnation: str
+    window: int
+    finished: dict[str, tuple[str, Answer]]
+    running: tuple[str, ...] = ()
+
+
+def parse_key(key):
+    """Split a key into its parts.
+
+    :param key: the text sent by a caller
+    :returns: :class:`Key`
+    :raises Refusal: ``NOT_RUN`` with status 400 for other texts
+    """
+    match = KEY_PATTERN.fullmatch(key)
+    if match is None:
+        raise Refusal(
+            f"key {key[:96]!r} is not valid, expected {KEY_FORMAT}",
+            code="key-invalid",
+            outcome=Outcome.NOT_RUN,
+            status=400,
+        )
+    return Key(incarnation=match[1], window=int(match[2]))
+
+
+def mismatch_refusal():
+    """Return the refusal of a key that was used for another request."""
+    return Refusal(
+        "the key was used for another request",
+        code="key-reused",
+        outcome=Outcome.NOT_RUN,
+        status=422,
+    )
+
+
+def expired_refusal():
+    """Return the refusal of a key whose records are no longer kept."""
+    return Refusal(
+        "the key is older than the records kept; the request may have run",
+        code="key-expired",
+        outcome=Outcome.UNKNOWN,
+        status=409,
+    )
+
+
+def running_refusal():
+    """Return the refusal of a resend whose first request still runs."""
+    return Refusal(
+        "the first request with this key has no answer yet",
+        code="key-running",
+        outcome=Outcome.UNKNOWN,
+        status=409,
+        retry_after_ms=1000.0,
+    )
+
+
+def unkept_answer(answer):
+    """Return the short answer recorded in place of one that is too large."""
+    body = (
+        b'{"outcome":"unknown","code":"answer-not-kept","message":"the request ran '
+        b'and ended with status %d; its answer was too large to keep"}' % answer.status
+    )
+    headers = (
+        ("Content-Type", "application/json"),
+        ("Monsoonline-Outcome", Outcome.UNKNOWN.value),
+    )
+    return Answer(status=409, headers=headers, body=body)
+
+
+def answer_size(answer):
+    """Return the bytes that count against the limits of recorded answers."""
+    headers = sum(len(name) + len(value) for name, value in answer.headers)
+    return len(answer.body) + headers
 
 
 class Ledger:
@@ -32,13 +195,23 @@
 
     :param clock: source of time
     :param incarnation: 64 random bits in hexadecimal, drawn when not given
+    :param limits: :class:`LedgerLimits`
+    :param admission: called before a key starts; raises a ``NOT_RUN``
+        :class:`Refusal` while this entry may start nothing
     """
 
-    def __init__(self, *, clock, incarnation=None):
+    def __init__(self, *, clock, incarnation=None, limits=None, admission=None):
         self._clock = clock
         self._incarnation = incarnation or secrets.token_hex(INCARNATION_BITS // 8)
+        self._limits = limits or LedgerLimits()
+        self._admission = admission
         self._origin = clock.now()
-        self._records = {}
+        self._windows = {}
+        self._oldest = 0
+        self._record_count = 0
+        self._tombstone_count = 0
+        self._answer_bytes = 0
+        self._closed = False
         self._lock = threading.Lock()
 
     @property
@@ -51,6 +224,26 @@
         """Number of the current window on this incarnation's own clock."""
         return int((self._clock.now() - self._origin) // WINDOW_MS)
 
+    @property
+    def closed(self):
+        """Whether this incarnation starts nothing more."""
+        return self._closed
+
+    @property
+    def record_count(self):
+        """Number of records kept, tombstones not included."""
+        return self._record_count
+
+    @property
+    def tombstone_count(self):
+        """Number of tombstones kept."""
+        return self._tombstone_count
+
+    @property
+    def answer_bytes(self):
+        """Sum of the sizes of the recorded answers."""
+        return self._answer_bytes
+
     def token(self):
         """Return the token from which callers make their keys."""
         return f"{self._incarnation}-{self.window}"
@@ -63,58 +256,321 @@
         :param deadline: instant in ms until which a running record is awaited
         :returns: ``None`` when the caller of this method shall run the request,
             otherwise the recorded answer
-        :raises Refusal: when the key is not this incarnation's or too old
+        :raises Refusal: when the key may not start here, is used for another request,
+            or has no answer by the deadline
         """
-        self._check_key(key)
-        with self._lock:
-            record = self._records.get(key)
-            if record is None:
-                self._records[key] = Record(fingerprint=fingerprint)
-                return None
-        if record.fingerprint != fingerprint:
-            raise Refusal(
-                "the key was used for another request",
-                code="key-reused",
-                outcome=Outcome.NOT_RUN,
-                status=422,
-            )
-        record.done.wait(max(0.0, deadline - self._clock.now()) / 1e3)
-        if record.answer is None:
+        parsed = parse_key(key)
+        if parsed.incarnation != self._incarnation:
             raise Refusal(
-                "the first request with this key has no answer yet",
-                code="key-running",
+                "the key belongs to another entry, which cannot be asked",
+                code="key-owner-unreachable",
                 outcome=Outcome.UNKNOWN,
                 status=409,
             )
-        return record.answer
+        while True:
+            with self._lock:
+                record = self._find(key, parsed)
+                if record is None:
+                    self._start(key, parsed, fingerprint)
+                    return None
+                self._check_fingerprint(record, fingerprint)
+                if record.answer is not None:
+                    return record.answer
+                if record.changed is None:
+                    record.changed = threading.Event()
+            remaining_ms = deadline - self._clock.now()
+            if remaining_ms <= 0 or not record.changed.wait(remaining_ms / 1e3):
+                raise running_refusal()
 
     def finish(self, key, answer):
-        """Record the answer of a key that ran."""
-        record = self._records[key]
-        record.answer = answer
-        record.done.set()
+        """Record the answer of a key that ran; also that of an unknown outcome."""
+        with self._lock:
+            record = self._windows.get(parse_key(key).window, {}).get(key)
+            if record is None or record.answer is not None:
+                return
+            size = answer_size(answer)
+            total = self._answer_bytes + size
+            if (
+                size > self._limits.answer_bytes
+                or total > self._limits.total_answer_bytes
+            ):
+                answer = unkept_answer(answer)
+                size = answer_size(answer)
+            self._answer_bytes += size
+            record.answer = answer
+            self._wake(record)
 
     def release_not_run(self, key):
-        """Forget a key whose request certainly did not run."""
+        """Forget a key whose request certainly did not run.
+
+        A resend that waits for it starts the key itself.
+        """
+        with self._lock:
+            record = self._windows.get(parse_key(key).window, {}).pop(key, None)
+            if record is not None:
+                self._record_count -= 1
+                record.released = True
+                self._wake(record)
+
+    def query(self, key, fingerprint=None):
+        """Tell another entry about a key; fence a key that has not started.
+
+        :param key: a key of this incarnation
+        :param fingerprint: digest of the resent request, ``None`` to skip the check
+        :returns: :class:`KeyStatus`; after ``NEVER_STARTED`` the key cannot start
+        :raises Refusal: when the text is not a key
+        """
+        parsed = parse_key(key)
+        if parsed.incarnation != self._incarnation:
+            return KeyStatus(state=KeyState.UNDECIDED)
+        with self._lock:
+            try:
+                record = self._find(key, parsed)
+            except Refusal as refusal:
+                future = refusal.outcome is Outcome.NOT_RUN
+                state = KeyState.UNDECIDED if future else KeyState.EXPIRED
+                return KeyStatus(state=state)
+            if record is None:
+                return KeyStatus(state=self._fence(key, parsed))
+            return status_of(record, fingerprint)
+
+    def close(self):
+        """Start nothing more, for ever; finished keys are still answered."""
         with self._lock:
-            record = self._records.pop(key)
-        record.done.set()
+            self._closed = True
+
+    def export(self):
+        """Return the records for handover.
 
-    def _check_key(self, key):
-        token, _, nonce = key.partition(".")
-        incarnation, _, window = token.partition("-")
-        if not nonce or not window.isdigit():
+        :returns: :class:`LedgerExport`
+        :raises RuntimeError: when the ledger is not closed, since a key that starts
+            after the export would be reported as never started
+        """
+        with self._lock:
+            if not self._closed:
+                raise RuntimeError("close() the ledger before export()")
+            finished = {}
+            running = []
+            for records in self._windows.values():
+                for key, record in records.items():
+                    if record.answer is not None:
+                        finished[key] = (record.fingerprint, record.answer)
+                    elif record.fingerprint != TOMBSTONE:
+                        running.append(key)
+            return LedgerExport(
+                incarnation=self._incarnation,
+                window=self.window,
+                finished=finished,
+                running=tuple(running),
+            )
+
+    def _find(self, key, parsed):
+        current = self.window
+        self._expire(current)
+        if parsed.window > current:
             raise Refusal(
-                f"key {key!r} is not valid, expected <token>.<random>",
-                code="key-invalid",
+                f"window {parsed.window!r} has not begun, expected at most {current}",
+                code="key-future",
                 outcome=Outcome.NOT_RUN,
                 status=400,
             )
-        expired = int(window) < self.window - RETENTION_WINDOWS
-        if incarnation != self._incarnation or expired:
+        if parsed.window < current - RETENTION_WINDOWS:
+            raise expired_refusal()
+        records = self._windows.get(parsed.window)
+        return records.get(key) if records else None
+
+    def _start(self, key, parsed, fingerprint):
+        if self._closed:
             raise Refusal(
-                "the entry that may run this key cannot be asked, or the key is old",
-                code="key-expired",
-                outcome=Outcome.UNKNOWN,
+                "this entry is stopping and starts nothing more",
+                code="entry-stopping",
+                outcome=Outcome.NOT_RUN,
+                status=503,
+            )
+        if self._admission is not None:
+            self._admission()
+        if self._record_count >= self._limits.records:
+            raise Refusal(
+                f"all {self._limits.records} records are in use",
+                code="records-full",
+                outcome=Outcome.NOT_RUN,
+                status=503,
+                retry_after_ms=WINDOW_MS,
+            )
+        records = self._windows.setdefault(parsed.window, {})
+        records[key] = Record(fingerprint=fingerprint)
+        self._record_count += 1
+
+    def _fence(self, key, parsed):
+        if self._closed:
+            return KeyState.NEVER_STARTED
+        if self._tombstone_count >= self._limits.tombstones:
+            return KeyState.UNDECIDED
+        records = self._windows.setdefault(parsed.window, {})
+        records[key] = Record(fingerprint=TOMBSTONE)
+        self._tombstone_count += 1
+        return KeyState.NEVER_STARTED
+
+    def _expire(self, current):
+        if self._oldest >= current - RETENTION_WINDOWS:
+            return
+        self._oldest = current - RETENTION_WINDOWS
+        for window in [w for w in self._windows if w < self._oldest]:
+            for record in self._windows.pop(window).values():
+                if record.fingerprint == TOMBSTONE:
+                    self._tombstone_count -= 1
+                    continue
+                self._record_count -= 1
+                if record.answer is not None:
+                    self._answer_bytes -= answer_size(record.answer)
+
+    @staticmethod
+    def _check_fingerprint(record, fingerprint):
+        if record.fingerprint == TOMBSTONE:
+            raise Refusal(
+                "another entry has reported this key as not run",
+                code="key-fenced",
+                outcome=Outcome.NOT_RUN,
                 status=409,
             )
+        if record.fingerprint != fingerprint:
+            raise mismatch_refusal()
+
+    @staticmethod
+    def _wake(record):
+        if record.changed is not None:
+            record.changed.set()
+
+
+def status_of(record, fingerprint):
+    """Return the :class:`KeyStatus` of a record."""
+    if record.fingerprint == TOMBSTONE:
+        return KeyStatus(state=KeyState.NEVER_STARTED)
+    if fingerprint is not None and record.fingerprint != fingerprint:
+        return KeyStatus(state=KeyState.MISMATCH)
+    if record.answer is None:
+        return KeyStatus(state=KeyState.RUNNING)
+    return KeyStatus(state=KeyState.FINISHED, answer=record.answer)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Adoption:
+    """What has arrived of one incarnation's handover.
+
+    :param export: the records so far
+    :param adopted_at: instant of the first part
+    :param missing: numbers of the parts that have not arrived
+    """
+
+    export: LedgerExport
+    adopted_at: float
+    missing: set[int]
+
+
+class AdoptedRecords:
+    """Records of stopped incarnations that this entry answers for.
+
+    Only a complete handover says which keys never started; until the last part is
+    here, a key that is not among the records is undecided.
+
+    :param clock: source of time
+    :param limits: :class:`LedgerLimits` over all adopted records together
+    """
+
+    def __init__(self, *, clock, limits=None):
+        self._clock = clock
+        self._limits = limits or LedgerLimits()
+        self._adoptions = {}
+        self._record_count = 0
+        self._answer_bytes = 0
+        self._lock = threading.Lock()
+
+    @property
+    def record_count(self):
+        """Number of finished records kept."""
+        return self._record_count
+
+    def add_part(self, part, *, index, count):
+        """Keep one part of a handover; a part that arrives again changes nothing.
+
+        :param part: :class:`LedgerExport` with a part of the records
+        :param index: number of the part, from 0
+        :param count: number of parts
+        :returns: whether it was kept; ``False`` when the limits are reached
+        """
+        with self._lock:
+            self._expire()
+            adoption = self._adoptions.get(part.incarnation)
+            if adoption is not None and index not in adoption.missing:
+                return True
+            size = sum(answer_size(answer) for _, answer in part.finished.values())
+            if (
+                self._record_count + len(part.finished) > self._limits.records
+                or self._answer_bytes + size > self._limits.total_answer_bytes
+            ):
+                return False
+            if adoption is None:
+                adoption = Adoption(
+                    export=dataclasses.replace(part, finished={}, running=()),
+                    adopted_at=self._clock.now(),
+                    missing=set(range(count)),
+                )
+                self._adoptions[part.incarnation] = adoption
+            adoption.export = dataclasses.replace(
+                adoption.export,
+                finished=adoption.export.finished | part.finished,
+                running=adoption.export.running + part.running,
+            )
+            adoption.missing.discard(index)
+            self._record_count += len(part.finished)
+            self._answer_bytes += size
+            return True
+
+    def query(self, key, fingerprint=None):
+        """Answer for a stopped incarnation.
+
+        :param key: a key of that incarnation
+        :param fingerprint: digest of the resent request, ``None`` to skip the check
+        :returns: :class:`KeyStatus`, or ``None`` when nothing was adopted
+        """
+        parsed = parse_key(key)
+        with self._lock:
+            self._expire()
+            adoption = self._adoptions.get(parsed.incarnation)
+            if adoption is None:
+                return None
+            if parsed.window < self._window(adoption) - RETENTION_WINDOWS:
+                return KeyStatus(state=KeyState.EXPIRED)
+            export = adoption.export
+            if key in export.finished:
+                recorded, answer = export.finished[key]
+                record = Record(fingerprint=recorded, answer=answer)
+                return status_of(record, fingerprint)
+            undecided = key in export.running or adoption.missing
+            state = KeyState.UNDECIDED if undecided else KeyState.NEVER_STARTED
+            return KeyStatus(state=state)
+
+    def exports(self):
+        """Return the complete adoptions, for handover when this entry stops too."""
+        with self._lock:
+            self._expire()
+            return tuple(
+                dataclasses.replace(adoption.export, window=self._window(adoption))
+                for adoption in self._adoptions.values()
+                if not adoption.missing
+            )
+
+    def _window(self, adoption):
+        elapsed_ms = self._clock.now() - adoption.adopted_at
+        return adoption.export.window + int(elapsed_ms // WINDOW_MS)
+
+    def _expire(self):
+        kept_ms = (RETENTION_WINDOWS + 1) * WINDOW_MS
+        now = self._clock.now()
+        for incarnation, adoption in list(self._adoptions.items()):
+            if now - adoption.adopted_at > kept_ms:
+                finished = self._adoptions.pop(incarnation).export.finished
+                self._record_count -= len(finished)
+                self._answer_bytes -= sum(
+                    answer_size(answer) for _, answer in finished.values()
+                )
--- /dev/null
+++ b/tests/core/test_ledger.py
@@ -0,0 +1,241 @@
+"""Tests of the at-most-once records."""
+
+import concurrent.futures
+import threading
+import time
+import unittest
+
+from monsoonline.clock import ManualClock, SystemClock
+from monsoonline.core.ledger import (
+    RETENTION_WINDOWS,
+    WINDOW_MS,
+    AdoptedRecords,
+    KeyState,
+    Ledger,
+    LedgerExport,
+    LedgerLimits,
+)
+from monsoonline.errors import Refusal
+from monsoonline.types import Answer, Outcome
+
+DONE = Answer(status=200, body=b"booked")
+
+
+class TestLedger(unittest.TestCase):
+    """Rules of one incarnation's records."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.ledger = Ledger(clock=self.clock)
+
+    def refused(self, key, fingerprint="f", ledger=None):
+        with self.assertRaises(Refusal) as caught:
+            (ledger or self.ledger).begin(key, fingerprint, deadline=self.clock.now())
+        return caught.exception.code, caught.exception.outcome, caught.exception.status
+
+    def key(self, random="a"):
+        return f"{self.ledger.token()}.{random}"
+
+    def run_key(self, key, answer=DONE, ledger=None):
+        ledger = ledger or self.ledger
+        self.assertIsNone(ledger.begin(key, "f", deadline=1e9))
+        ledger.finish(key, answer)
+
+    def test_key_of_a_past_retention_is_unknown_and_never_starts(self):
+        key = self.key()
+        self.clock.advance(RETENTION_WINDOWS * WINDOW_MS)
+        self.run_key(key)
+        self.clock.advance(WINDOW_MS)
+        self.assertEqual(self.refused(key), ("key-expired", Outcome.UNKNOWN, 409))
+        self.assertEqual(self.ledger.query(key).state, KeyState.EXPIRED)
+
+    def test_expiry_gives_the_memory_back(self):
+        self.run_key(self.key("a"))
+        self.ledger.query(self.key("b"))
+        self.clock.advance((RETENTION_WINDOWS + 1) * WINDOW_MS)
+        self.run_key(self.key("c"), Answer(status=200))
+        self.assertEqual(self.ledger.record_count, 1)
+        self.assertEqual(self.ledger.tombstone_count, 0)
+        self.assertEqual(self.ledger.answer_bytes, 0)
+
+    def test_future_window_and_malformed_keys_are_refused(self):
+        future = f"{self.ledger.incarnation}-1.a"
+        self.assertEqual(self.refused(future), ("key-future", Outcome.NOT_RUN, 400))
+        for text in ("", "x", self.key("a b"), self.key("a" * 65), self.key("") + "\n"):
+            with self.subTest(text):
+                self.assertEqual(self.refused(text)[0], "key-invalid")
+
+    def test_other_fingerprint_is_refused_while_running_and_after(self):
+        key = self.key()
+        self.ledger.begin(key, "f", deadline=0)
+        self.assertEqual(self.refused(key, "g")[0], "key-reused")
+        self.ledger.finish(key, DONE)
+        self.assertEqual(self.refused(key, "g")[2], 422)
+
+    def test_resend_of_a_running_key_is_unknown_at_its_own_deadline(self):
+        key = self.key()
+        self.ledger.begin(key, "f", deadline=1e9)
+        self.assertEqual(self.refused(key), ("key-running", Outcome.UNKNOWN, 409))
+
+    def test_full_records_refuse_new_keys_and_keep_old_ones(self):
+        """Evicting a record whose window is accepted would let its key run twice."""
+        ledger = Ledger(
+            clock=self.clock,
+            incarnation=self.ledger.incarnation,
+            limits=LedgerLimits(records=1, tombstones=1),
+        )
+        self.run_key(self.key("a"), ledger=ledger)
+        code = self.refused(self.key("b"), ledger=ledger)
+        self.assertEqual(code, ("records-full", Outcome.NOT_RUN, 503))
+        self.assertEqual(ledger.begin(self.key("a"), "f", deadline=0), DONE)
+        self.assertEqual(ledger.query(self.key("c")).state, KeyState.NEVER_STARTED)
+        self.assertEqual(ledger.query(self.key("d")).state, KeyState.UNDECIDED)
+
+    def test_answer_above_a_limit_is_not_kept_but_never_run_again(self):
+        limits = LedgerLimits(answer_bytes=300, total_answer_bytes=500)
+        ledger = Ledger(clock=self.clock, limits=limits)
+        keys = [f"{ledger.token()}.{n}" for n in "abc"]
+        sizes = (301, 300, 300)
+        for key, size in zip(keys, sizes, strict=True):
+            self.run_key(key, Answer(status=201, body=b"x" * size), ledger=ledger)
+        statuses = [ledger.begin(key, "f", deadline=0).status for key in keys]
+        self.assertEqual(statuses, [409, 201, 409])
+        self.assertIn(b"status 201", ledger.begin(keys[0], "f", deadline=0).body)
+
+    def test_queried_key_that_never_started_cannot_start_later(self):
+        """The delayed first request arrives after another entry said not-run."""
+        key = self.key()
+        self.assertEqual(self.ledger.query(key).state, KeyState.NEVER_STARTED)
+        self.assertEqual(self.refused(key), ("key-fenced", Outcome.NOT_RUN, 409))
+
+    def test_released_key_may_start_again(self):
+        key = self.key()
+        self.ledger.begin(key, "f", deadline=0)
+        self.ledger.release_not_run(key)
+        self.assertIsNone(self.ledger.begin(key, "f", deadline=0))
+        self.assertEqual(self.ledger.record_count, 1)
+
+    def test_closed_ledger_starts_nothing_and_exports_all(self):
+        self.run_key(self.key("a"))
+        self.ledger.begin(self.key("b"), "f", deadline=0)
+        self.ledger.query(self.key("c"))
+        self.assertRaises(RuntimeError, self.ledger.export)
+        self.ledger.close()
+        self.assertEqual(self.refused(self.key("d"))[0], "entry-stopping")
+        self.assertEqual(self.ledger.begin(self.key("a"), "f", deadline=0), DONE)
+        export = self.ledger.export()
+        self.assertEqual(export.finished, {self.key("a"): ("f", DONE)})
+        self.assertEqual(export.running, (self.key("b"),))
+
+    def test_admission_refuses_starts_but_not_recorded_answers(self):
+        allowed = [True]
+
+        def admission():
+            if not allowed[0]:
+                raise Refusal("no", code="p", outcome=Outcome.NOT_RUN, status=503)
+
+        ledger = Ledger(clock=self.clock, admission=admission)
+        key = f"{ledger.token()}.a"
+        self.run_key(key, ledger=ledger)
+        allowed[0] = False
+        self.assertEqual(ledger.begin(key, "f", deadline=0), DONE)
+        self.assertEqual(self.refused(f"{ledger.token()}.b", ledger=ledger)[0], "p")
+
+
+class TestLedgerThreads(unittest.TestCase):
+    """Races between threads that present the same key."""
+
+    def setUp(self):
+        self.clock = SystemClock()
+        self.ledger = Ledger(clock=self.clock)
+        self.key = f"{self.ledger.token()}.a"
+
+    def begin(self):
+        return self.ledger.begin(self.key, "f", deadline=self.clock.now() + 5000)
+
+    def test_one_of_many_threads_starts_and_the_others_get_its_answer(self):
+        barrier = threading.Barrier(8)
+
+        def call():
+            barrier.wait()
+            answer = self.begin()
+            if answer is None:
+                time.sleep(0.02)
+                self.ledger.finish(self.key, DONE)
+            return answer
+
+        with concurrent.futures.ThreadPoolExecutor(8) as executor:
+            answers = [f.result() for f in [executor.submit(call) for _ in range(8)]]
+        self.assertEqual(answers.count(None), 1)
+        self.assertEqual(answers.count(DONE), 7)
+
+    def test_waiting_resend_starts_a_released_key(self):
+        """Without this a released key's resend would be told unknown."""
+        self.begin()
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            resend = executor.submit(self.begin)
+            time.sleep(0.02)
+            self.ledger.release_not_run(self.key)
+            self.assertIsNone(resend.result())
+
+    def test_either_the_tombstone_or_the_start_wins(self):
+        """A key reported as never started must not run, whatever the order."""
+        with concurrent.futures.ThreadPoolExecutor(2) as executor:
+            for number in range(300):
+                key = f"{self.ledger.token()}.{number}"
+                begun = executor.submit(self.ledger.begin, key, "f", deadline=0)
+                fenced = self.ledger.query(key).state is KeyState.NEVER_STARTED
+                self.assertEqual(fenced, begun.exception() is not None)
+
+
+class TestAdoptedRecords(unittest.TestCase):
+    """Records of another, stopped incarnation."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.adopted = AdoptedRecords(
+            clock=self.clock, limits=LedgerLimits(records=3, total_answer_bytes=100)
+        )
+
+    def part(self, *names, running=()):
+        finished = {self.key(name): ("f", DONE) for name in names}
+        running = tuple(self.key(name) for name in running)
+        return LedgerExport(
+            incarnation="0" * 16, window=3, finished=finished, running=running
+        )
+
+    @staticmethod
+    def key(random, window=3):
+        return f"{'0' * 16}-{window}.{random}"
+
+    def state(self, *args, **kwargs):
+        status = self.adopted.query(self.key(*args, **kwargs), "f")
+        return status and status.state
+
+    def test_never_started_only_after_the_last_part(self):
+        """An incomplete handover must not report a finished key as not run."""
+        self.assertIsNone(self.state("a"))
+        self.adopted.add_part(self.part("a"), index=0, count=2)
+        self.assertIs(self.state("a"), KeyState.FINISHED)
+        self.assertIs(self.state("b"), KeyState.UNDECIDED)
+        self.adopted.add_part(self.part("b", running="r"), index=1, count=2)
+        self.assertIs(self.state("b"), KeyState.FINISHED)
+        self.assertIs(self.state("r"), KeyState.UNDECIDED)
+        self.assertIs(self.state("c"), KeyState.NEVER_STARTED)
+
+    def test_windows_move_on_and_records_expire(self):
+        self.adopted.add_part(self.part("a"), index=0, count=1)
+        self.clock.advance(RETENTION_WINDOWS * WINDOW_MS)
+        self.assertIs(self.state("z", window=2), KeyState.EXPIRED)
+        self.assertIs(self.state("a"), KeyState.FINISHED)
+        self.assertEqual(self.adopted.exports()[0].window, 3 + RETENTION_WINDOWS)
+        self.clock.advance(2 * WINDOW_MS)
+        self.assertIsNone(self.state("a"))
+        self.assertEqual(self.adopted.record_count, 0)
+
+    def test_limits_refuse_a_part_and_leave_the_handover_incomplete(self):
+        self.assertTrue(self.adopted.add_part(self.part(*"abc"), index=0, count=2))
+        self.assertTrue(self.adopted.add_part(self.part(*"abc"), index=0, count=2))
+        self.assertFalse(self.adopted.add_part(self.part("d"), index=1, count=2))
+        self.assertIs(self.state("d"), KeyState.UNDECIDED)
+        self.assertEqual(self.adopted.exports(), ())
