--- /dev/null
+++ b/src/monsoonline/adapters/local_peers.py
@@ -0,0 +1,157 @@
+"""A :class:`monsoonline.ports.PeerNetwork` between entries of one process.
+
+The demonstration and tests run several entries in one process; requests run on an
+executor so that their time limits hold as over a network.
+"""
+
+import concurrent.futures
+import dataclasses
+import threading
+
+from monsoonline.errors import PeerUnavailable
+from monsoonline.ports import SharedItem
+
+__all__ = ["LocalPeerHub", "LocalPeerNetwork"]
+
+REQUEST_WORKERS = 16
+
+
+class LocalPeerHub:
+    """Connects the networks of all entries of one process."""
+
+    def __init__(self):
+        self._lock = threading.RLock()
+        self._networks = {}
+        self._unreachable = set()
+        self._items = {}
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            REQUEST_WORKERS, thread_name_prefix="peer"
+        )
+
+    def join(self, member):
+        """Add an entry.
+
+        :param member: its :class:`monsoonline.ports.Member`
+        :returns: its :class:`LocalPeerNetwork`
+        """
+        network = LocalPeerNetwork(hub=self, member=member)
+        with self._lock:
+            self._networks[member.incarnation] = network
+        return network
+
+    def leave(self, incarnation):
+        """Remove an entry whose process ended."""
+        with self._lock:
+            self._networks.pop(incarnation, None)
+
+    def set_reachable(self, incarnation, reachable):
+        """Let requests to an entry fail, as for a paused or cut-off process."""
+        with self._lock:
+            if reachable:
+                self._unreachable.discard(incarnation)
+            else:
+                self._unreachable.add(incarnation)
+
+    def close(self):
+        """End the threads."""
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+    def members(self):
+        """Return the members as they describe themselves."""
+        with self._lock:
+            return tuple(network.member for network in self._networks.values())
+
+    def request(self, sender, member, kind, payload, *, timeout_ms):
+        """Run the handler of a member; see :class:`LocalPeerNetwork`."""
+        with self._lock:
+            network = self._networks.get(member.incarnation)
+            cut = {member.incarnation, sender.incarnation} & self._unreachable
+        handler = network.handler(kind) if network else None
+        if handler is None or cut:
+            raise PeerUnavailable(f"{member.name}: no reply to {kind!r}")
+        future = self._executor.submit(handler, sender.name, payload)
+        try:
+            return future.result(timeout_ms / 1e3)
+        except concurrent.futures.TimeoutError:
+            raise PeerUnavailable(f"{member.name}: {kind!r} timed out") from None
+
+    def publish(self, owner, kind, key, payload):
+        """Pass an item to all subscribers and keep it for later ones."""
+        with self._lock:
+            older = self._items.get((kind, key, owner))
+            item = SharedItem(
+                kind=kind,
+                key=key,
+                owner=owner,
+                version=older.version + 1 if older else 1,
+                age_ms=0.0,
+                payload=payload,
+            )
+            self._items[(kind, key, owner)] = item
+            networks = tuple(self._networks.values())
+        for network in networks:
+            network.deliver(item)
+
+    def items(self, kind):
+        """Return the items of a kind."""
+        with self._lock:
+            return tuple(item for item in self._items.values() if item.kind == kind)
+
+
+class LocalPeerNetwork:
+    """The network as one entry sees it.
+
+    :param hub: the :class:`LocalPeerHub`
+    :param member: this entry
+    """
+
+    def __init__(self, *, hub, member):
+        self._hub = hub
+        self._member = member
+        self._handlers = {}
+        self._subscribers = {}
+
+    @property
+    def member(self):
+        """This entry as others see it."""
+        return self._member
+
+    def update(self, **fields):
+        """Change fields of this entry's own :class:`Member`, such as ``state``."""
+        self._member = dataclasses.replace(self._member, **fields)
+
+    def members(self):
+        """Return all known members, this entry included."""
+        return self._hub.members()
+
+    def publish(self, kind, key, payload):
+        """Spread a shared item to all members."""
+        self._hub.publish(self._member.name, kind, key, payload)
+
+    def subscribe(self, kind, handler):
+        """Call ``handler(item)`` for each newer item of a kind."""
+        self._subscribers.setdefault(kind, []).append(handler)
+        for item in self._hub.items(kind):
+            handler(item)
+
+    def request(self, member, kind, payload, *, timeout_ms):
+        """Send a request to one member and return its reply.
+
+        :raises PeerUnavailable: when no reply came in time
+        """
+        return self._hub.request(
+            self._member, member, kind, payload, timeout_ms=timeout_ms
+        )
+
+    def serve(self, kind, handler):
+        """Answer requests of a kind with ``handler(member_name, payload)``."""
+        self._handlers[kind] = handler
+
+    def handler(self, kind):
+        """Return the handler of a kind, or ``None``."""
+        return self._handlers.get(kind)
+
+    def deliver(self, item):
+        """Pass an item to the subscribers of its kind."""
+        for handler in self._subscribers.get(item.kind, ()):
+            handler(item)
--- a/src/monsoonline/errors.py
+++ b/src/monsoonline/errors.py
@@ -10,6 +10,7 @@
     "Finding",
     "FindingsError",
     "MonsoonlineError",
+    "PeerUnavailable",
     "Refusal",
     "StoreUnavailable",
 ]
@@ -110,6 +111,12 @@
         return self._findings
 
 
+class PeerUnavailable(MonsoonlineError):
+    """Another entry did not reply; it may have handled the request."""
+
+    default_code = "peer-unavailable"
+
+
 class StoreUnavailable(MonsoonlineError):
     """The table service did not do what was asked; certainly nothing changed."""
 
