Stop entries gracefully and notice pauses

Cause: SIGTERM closed the sockets at once, which cut requests in flight and left callers with addresses that no longer answered; a resumed process started bookings although others had decided about its keys meanwhile. Change: entry/lifecycle.py has the states, the order and waits of a stop (until discovery answers have expired, then Connection: close on last answers, idle connections, requests in flight, keys closed, handover), a second signal and a limit with a count of cut requests, and pause detection that is also checked before each start of a key. HttpServer got the counters and actions a stop needs. Conclusion: a planned stop waits lifetime + propagation (8 s by default).

--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -2,9 +2,11 @@
 
 import concurrent.futures
 import http
+import select
 import threading
 
 import waitress.server
+import waitress.wasyncore
 
 from monsoonline.types import Answer, Request
 
@@ -98,6 +100,9 @@
             _dispatcher=ExecutorDispatcher(workers=workers),
         )
         self._thread = None
+        self._closing = False
+        self._running = 0
+        self._running_lock = threading.Lock()
 
     @property
     def address(self):
@@ -116,7 +121,69 @@
         self._server.close()
 
     def _application(self, environ, start_response):
-        answer = self._handler(request_of(environ))
+        answer = self._call_handler(request_of(environ))
         headers = [*answer.headers, ("Content-Length", str(len(answer.body)))]
+        self._mark_last_answer(environ)
         start_response(status_line(answer), headers)
         return [answer.body]
+
+    @property
+    def open_connections(self):
+        """Number of open connections from clients."""
+        return len(self._server.active_channels)
+
+    @property
+    def requests_in_flight(self):
+        """Requests not yet answered completely.
+
+        Requests whose client has disconnected count while their handler runs, since
+        their outcome is still to be recorded.
+        """
+        channels = tuple(self._server.active_channels.values())
+        busy = sum(not self._is_idle(channel) for channel in channels)
+        return max(busy, self._running)
+
+    def stop_accepting(self):
+        """Accept what has connected so far, then close the listening socket."""
+        self._server.trigger.pull_trigger(self._close_listener)
+
+    def close_after_answer(self):
+        """Close every connection after its next answer (``Connection: close``)."""
+        self._closing = True
+
+    def close_idle(self):
+        """Close the connections on which no request is in flight."""
+        self._server.trigger.pull_trigger(self._close_idle_channels)
+
+    def _call_handler(self, request):
+        with self._running_lock:
+            self._running += 1
+        try:
+            return self._handler(request)
+        finally:
+            with self._running_lock:
+                self._running -= 1
+
+    def _close_listener(self):
+        # Runs in the serving thread. Closing resets connections that the kernel has
+        # established but the server has not accepted, so these are accepted first.
+        listener = self._server.socket
+        while listener is not None and select.select([listener], [], [], 0)[0]:
+            self._server.handle_accept()
+        waitress.wasyncore.dispatcher.close(self._server)
+
+    def _close_idle_channels(self):
+        for channel in tuple(self._server.active_channels.values()):
+            if self._is_idle(channel):
+                channel.will_close = True
+
+    @staticmethod
+    def _is_idle(channel):
+        return not (channel.requests or channel.request or channel.total_outbufs_len)
+
+    def _mark_last_answer(self, environ):
+        # waitress refuses a Connection header from the application. It answers with
+        # ``Connection: close`` and closes when the request carries that header.
+        if self._closing:
+            channel = environ["waitress.client_disconnected"].__self__
+            channel.requests[0].headers["CONNECTION"] = "close"
--- a/src/monsoonline/commands/entry.py
+++ b/src/monsoonline/commands/entry.py
@@ -1,5 +1,8 @@
 """``monsoonline entry``: run one entry."""
 
+import dataclasses
+import logging
+import os
 import signal
 import sys
 import threading
@@ -19,7 +22,11 @@
 @click.argument("settings_file", type=click.Path(exists=True, dir_okay=False))
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON line at start.")
 def command(settings_file, as_json):
-    """Run one entry with the settings in SETTINGS_FILE until SIGTERM."""
+    """Run one entry with the settings in SETTINGS_FILE until SIGTERM.
+
+    Exits 0 after a graceful stop, 1 where a second signal or the limit shortened the
+    stop; then the number of interrupted requests is printed.
+    """
     try:
         settings = load_settings(settings_file)
     except FindingsError as error:
@@ -28,12 +35,25 @@
     configure_logging(settings.log_level)
     service = EntryService(settings=settings)
     stopped = threading.Event()
+
+    def handle_signal(*_):
+        if stopped.is_set():
+            service.hurry()
+        stopped.set()
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
+        signal.signal(number, handle_signal)
     service.start()
     print_document(
         {"callers": service.callers_address, "operations": service.operations_address},
         as_json=as_json,
     )
     stopped.wait()
-    service.close()
+    report = service.stop()
+    print_document(dataclasses.asdict(report), as_json=as_json)
+    sys.stdout.flush()
+    logging.shutdown()
+    if report.cut:
+        # A normal exit joins the worker threads, which the cut requests still hold.
+        os._exit(report.exit_code)
+    sys.exit(report.exit_code)
--- a/src/monsoonline/settings.py
+++ b/src/monsoonline/settings.py
@@ -12,6 +12,7 @@
     "Listener",
     "PeerKey",
     "PlatformSettings",
+    "StopSettings",
     "findings_of",
     "load_settings",
     "parse_document",
@@ -38,6 +39,15 @@
     timeout_ms: float = pydantic.Field(default=1000.0, gt=0)
 
 
+class StopSettings(StrictModel):
+    """Durations of a graceful stop; see ``entry/lifecycle.py``."""
+
+    propagation_ms: float = pydantic.Field(default=3000.0, ge=0)
+    idle_ms: float = pydantic.Field(default=500.0, ge=0)
+    reserve_ms: float = pydantic.Field(default=5000.0, ge=0)
+    limit_ms: float = pydantic.Field(default=60_000.0, gt=0)
+
+
 class PeerKey(StrictModel):
     """A shared key that authenticates peer messages; the first one signs."""
 
@@ -57,6 +67,7 @@
     platform: PlatformSettings
     workers: int = pydantic.Field(default=32, ge=1, le=512)
     discovery_lifetime_ms: float = pydantic.Field(default=5000.0, ge=100)
+    stop: StopSettings = StopSettings()
     tokens: dict[str, str] = pydantic.Field(default_factory=dict)
     peer_keys: tuple[PeerKey, ...] = ()
     log_level: str = pydantic.Field(
--- /dev/null
+++ b/tests/entry/test_lifecycle.py
@@ -0,0 +1,213 @@
+"""Tests of the states of an entry, its stop and pauses."""
+
+import concurrent.futures
+import http.client
+import threading
+import time
+import unittest
+
+from monsoonline.adapters.http_server import HttpServer
+from monsoonline.clock import ManualClock, SystemClock
+from monsoonline.entry.lifecycle import (
+    PAUSE_GAP_MS,
+    EntryState,
+    Lifecycle,
+    PauseDetector,
+    StopTimes,
+)
+from monsoonline.errors import Refusal
+from monsoonline.types import Answer, Outcome
+
+
+class SteppingClock(ManualClock):
+    """A manual clock on which sleeping moves the time."""
+
+    def sleep(self, duration_ms):
+        self.advance(duration_ms)
+
+
+class ScriptedServer:
+    """A server whose requests end at a given time."""
+
+    def __init__(self, clock, *, busy_until=0.0):
+        self.clock = clock
+        self.busy_until = busy_until
+        self.calls = []
+
+    def __getattr__(self, name):
+        return lambda: self.calls.append((name, self.clock.now()))
+
+    @property
+    def requests_in_flight(self):
+        return int(self.clock.now() < self.busy_until)
+
+    @property
+    def open_connections(self):
+        return self.requests_in_flight
+
+
+class TestStop(unittest.TestCase):
+    """The order and the waits of a graceful stop."""
+
+    def stop(self, *, busy_until=0.0, hurry=False, **times):
+        self.clock = SteppingClock()
+        self.server = ScriptedServer(self.clock, busy_until=busy_until)
+        self.states = []
+        self.lifecycle = Lifecycle(
+            clock=self.clock,
+            times=StopTimes(**times),
+            server=self.server,
+            close_keys=self.server.close_keys,
+            hand_over=self.server.hand_over,
+            on_state=self.states.append,
+            detector=PauseDetector(clock=self.clock),
+        )
+        self.lifecycle.set_ready()
+        if hurry:
+            self.lifecycle.hurry()
+        return self.lifecycle.stop()
+
+    def test_serves_until_every_discovery_answer_has_expired(self):
+        """An answer given by another entry just before it heard of the stop."""
+        report = self.stop(lifetime_ms=5000.0, propagation_ms=3000.0)
+        calls = dict(self.server.calls)
+        self.assertGreaterEqual(calls["stop_accepting"], 8000.0)
+        order = [name for name, _ in self.server.calls]
+        expected = ["stop_accepting", "close_after_answer", "close_idle"]
+        self.assertEqual(order, [*expected, "close_keys", "hand_over"])
+        self.assertEqual(self.states, list(EntryState)[1:])
+        self.assertEqual((report.cut, report.exit_code), (0, 0))
+
+    def test_in_flight_requests_finish_before_the_handover(self):
+        """Keys that finish after the export would be lost."""
+        report = self.stop(busy_until=12_000.0)
+        self.assertGreaterEqual(dict(self.server.calls)["close_keys"], 12_000.0)
+        self.assertEqual(report.exit_code, 0)
+
+    def test_second_signal_shortens_the_wait_and_finishes_requests(self):
+        report = self.stop(hurry=True, busy_until=1500.0)
+        self.assertLess(report.duration_ms, 2000.0)
+        self.assertEqual((report.cut, report.exit_code), (0, 1))
+
+    def test_limit_leaves_the_reserve_and_counts_cut_requests(self):
+        report = self.stop(busy_until=1e9, limit_ms=6000.0, reserve_ms=2000.0)
+        self.assertAlmostEqual(dict(self.server.calls)["stop_accepting"], 4000, -2)
+        self.assertIn("hand_over", dict(self.server.calls))
+        self.assertLess(report.duration_ms, 6100.0)
+        self.assertEqual((report.cut, report.exit_code), (1, 1))
+
+
+class TestPauseDetector(unittest.TestCase):
+    """A process that stood still starts no bookings until it heard others."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.detector = PauseDetector(clock=self.clock)
+        self.lifecycle = Lifecycle(
+            clock=self.clock,
+            times=StopTimes(),
+            server=None,
+            close_keys=None,
+            hand_over=None,
+            on_state=lambda state: None,
+            detector=self.detector,
+        )
+        self.lifecycle.set_ready()
+
+    def test_first_request_after_a_pause_is_refused_before_any_tick(self):
+        """A worker may resume before the thread that ticks."""
+        self.clock.advance(PAUSE_GAP_MS)
+        self.lifecycle.admit()
+        self.clock.advance(PAUSE_GAP_MS + 1)
+        with self.assertRaises(Refusal) as caught:
+            self.lifecycle.admit()
+        self.assertIs(caught.exception.outcome, Outcome.NOT_RUN)
+        self.assertFalse(self.lifecycle.ready)
+
+    def test_reply_to_a_question_from_before_the_pause_does_not_count(self):
+        asked_at = self.clock.now()
+        self.clock.advance(PAUSE_GAP_MS + 1)
+        self.detector.heard(asked_at=asked_at)
+        self.assertFalse(self.lifecycle.ready)
+        self.detector.heard(asked_at=self.clock.now())
+        self.assertTrue(self.lifecycle.ready)
+        self.lifecycle.admit()
+
+
+class TestHttpServerDrain(unittest.TestCase):
+    """What a stop needs from the HTTP server."""
+
+    def setUp(self):
+        self.release = threading.Event()
+        self.server = HttpServer(
+            handler=self.handle, host="127.0.0.1", port=0, workers=4
+        )
+        self.server.start()
+        self.addCleanup(self.server.close)
+        self.addCleanup(self.release.set)
+
+    def handle(self, request):
+        if request.path == "/slow":
+            self.release.wait(5)
+        return Answer(status=200, body=b"whole")
+
+    def connect(self):
+        host, _, port = self.server.address.partition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=5)
+        self.addCleanup(connection.close)
+        return connection
+
+    def get(self, connection, path="/"):
+        connection.request("GET", path)
+        response = connection.getresponse()
+        return response.read(), response.getheader("Connection")
+
+    def eventually(self, condition):
+        end = time.monotonic() + 5
+        while not condition() and time.monotonic() < end:
+            time.sleep(0.005)
+        self.assertTrue(condition())
+
+    def test_last_answers_close_and_no_request_is_interrupted(self):
+        kept, slow, idle = self.connect(), self.connect(), self.connect()
+        for connection in (kept, slow, idle):
+            self.assertEqual(self.get(connection), (b"whole", None))
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            answer = executor.submit(self.get, slow, "/slow")
+            self.eventually(lambda: self.server.requests_in_flight == 1)
+            self.server.stop_accepting()
+            self.server.close_after_answer()
+            self.assertEqual(self.get(kept), (b"whole", "close"))
+            self.server.close_idle()
+            self.eventually(lambda: self.server.open_connections == 1)
+            self.release.set()
+            self.assertEqual(answer.result(), (b"whole", "close"))
+        self.eventually(lambda: self.server.open_connections == 0)
+        self.assertRaises(ConnectionRefusedError, self.connect().connect)
+
+    def test_request_counts_after_its_client_disconnected(self):
+        """Its answer is still to be recorded before the handover."""
+        # Without lookahead waitress notices a disconnect only after the answer.
+        self.server._server.adj.channel_request_lookahead = 1
+        connection = self.connect()
+        connection.request("GET", "/slow")
+        self.eventually(lambda: self.server.requests_in_flight == 1)
+        connection.close()
+        self.eventually(lambda: self.server.open_connections == 0)
+        self.assertEqual(self.server.requests_in_flight, 1)
+        self.release.set()
+        self.eventually(lambda: self.server.requests_in_flight == 0)
+
+
+class TestSystemClockTicks(unittest.TestCase):
+    """The regular thread of the detector."""
+
+    def test_running_thread_sees_no_pause(self):
+        detector = PauseDetector(clock=SystemClock())
+        stopping = threading.Event()
+        thread = threading.Thread(target=detector.run, args=(stopping,))
+        thread.start()
+        time.sleep(0.3)
+        stopping.set()
+        thread.join()
+        self.assertEqual(detector.pauses, 0)
