--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -35,6 +35,8 @@
 # Longest time for one request to arrive or one answer to be taken by the caller.
 TRANSFER_TIMEOUT_MS = 30_000.0
 BACKLOG = 1024
+# Bound of the delay with which the accepting thread notices a stop.
+ACCEPT_POLL_MS = 100
 NO_BODY_STATUSES = frozenset((204, 304))
 FULL = (
     b"HTTP/1.1 503 Service Unavailable\r\nMonsoonline-Outcome: not-run\r\n"
@@ -111,7 +113,7 @@
         close = (
             "close" in tokens
             or (old and "keep-alive" not in tokens)
-            or channel.server.draining
+            or channel.server.closing
         )
         self.close_on_finish = close
         self.wrote_header = True
@@ -196,6 +198,10 @@
 
     channel_class = ConnectionChannel
     draining = False
+    # Whether each connection ends with its next answer.
+    closing = False
+    # Whether the listening socket closes once nothing waits to be accepted.
+    listener_closing = False
 
     def __init__(self, application, *, limit, adj):
         self._limit = limit
@@ -219,20 +225,49 @@
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def accept_all(self):
-        """Accept connections until the listening socket is closed."""
+        """Accept connections until the listening socket is to be closed."""
+        listener = self.socket
+        poller = select.poll()
+        poller.register(listener, select.POLLIN)
         while not self.draining:
-            try:
-                connection, address = self.socket.accept()
-            except OSError:
-                if self.draining:
+            # Closing a listening socket resets connections that the kernel has
+            # established but nobody has accepted, so these are accepted first.
+            closing = self.listener_closing
+            if not poller.poll(0 if closing else ACCEPT_POLL_MS):
+                if closing:
+                    listener.close()
                     return
+                continue
+            self._accept_one(listener)
+
+    def _accept_one(self, listener):
+        try:
+            connection, address = listener.accept()
+        except OSError:
+            if not self.draining:
                 logger.warning("accept failed", exc_info=True)
                 time.sleep(0.01)
-                continue
-            if self.draining:
-                connection.close()
-                return
-            self._start(connection, address)
+            return
+        if self.draining:
+            connection.close()
+            return
+        self._start(connection, address)
+
+    @property
+    def busy_connections(self):
+        """Number of connections that receive, serve or answer a request."""
+        channels = list(self.active_channels.values())
+        return sum(channel.idle_since is None for channel in channels)
+
+    def stop_accepting(self):
+        """Close the listening socket after accepting what has connected."""
+        self.listener_closing = True
+
+    def close_idle(self):
+        """End the connections that wait for a request."""
+        for channel in list(self.active_channels.values()):
+            if channel.idle_since:
+                self._hang_up(channel)
 
     def _start(self, connection, address):
         if len(self.active_channels) >= self._limit and not self.close_longest_idle():
@@ -260,13 +295,12 @@
         if self.draining:
             return
         self.draining = True
+        self.closing = True
         try:
             self.socket.shutdown(socket.SHUT_RDWR)
         except OSError:
             logger.debug("listening socket was shut down before")
-        for channel in list(self.active_channels.values()):
-            if channel.idle_since:
-                self._hang_up(channel)
+        self.close_idle()
         self._executor.shutdown(wait=False)
         self.close()
 
@@ -309,7 +343,7 @@
         return f"{self._server.effective_host}:{self._server.effective_port}"
 
     @property
-    def connections(self):
+    def open_connections(self):
         """Number of open caller connections."""
         return len(self._server.active_channels)
 
@@ -323,3 +357,28 @@
     def close(self):
         """Accept no more connections; those open end between requests."""
         self._server.drain()
+
+    @property
+    def requests_in_flight(self):
+        """Requests not yet answered completely.
+
+        Requests whose caller has disconnected count while their handler runs, since
+        their outcome is still to be recorded.
+        """
+        return self._server.busy_connections
+
+    def stop_accepting(self):
+        """Accept what has connected so far, then close the listening socket.
+
+        Returns when the socket is closed.
+        """
+        self._server.stop_accepting()
+        self._thread.join()
+
+    def close_after_answer(self):
+        """Close every connection after its next answer (``Connection: close``)."""
+        self._server.closing = True
+
+    def close_idle(self):
+        """Close the connections on which no request is in flight."""
+        self._server.close_idle()
