Commit edits by transactions and meter the platform

Cause: the store client could only read, without limits, and the stand-in had no transactions and no faults. A reference rule checked by a read before the write would not hold under races, and a lost response could lead to a second application of an edit. Change: a generic transactional table service, object store and VM list as stand-ins with switchable faults and counters; reference and department rules as conditions of one transaction; a store client with timeouts, retry and rate budgets, a circuit breaker, resolution of lost responses by change id and detection of stale reads. Conclusion: edits are applied at most once and the limits hold over a restart of all entries.

--- a/src/monsoonline/adapters/platform.py
+++ b/src/monsoonline/adapters/platform.py
@@ -1,66 +1,207 @@
-"""HTTP client of the platform's table service, object store and VM list."""
+"""HTTP client shared by the adapters of the platform's services."""
 
 import http.client
 import urllib.parse
 
+import numpy
 import orjson
 
-from monsoonline.core.documents import PoolDocument, RouteDocument
-from monsoonline.core.model import Tables
+from monsoonline.adapters.circuit_breaker import (
+    CircuitBreaker,
+    RateBudget,
+    RetryBudget,
+)
+from monsoonline.clock import SystemClock
 from monsoonline.errors import StoreUnavailable
-from monsoonline.ports import VirtualMachine
+from monsoonline.metrics import Metrics
 
-__all__ = ["PlatformClient"]
+__all__ = ["PlatformClient", "PlatformLimits", "ResponseLost"]
+
+ATTEMPTS = 3
+BACKOFF_MS = 50.0
+
+
+class PlatformLimits:
+    """Budget of one entry.
+
+    22 entries share 1,000 reads and 100 writes a second. An entry sends at most
+    rate + burst in any window of 1 s, and a restarted process begins with a full
+    burst, so that rate + 2 x burst must stay below 45 reads and 4.5 writes.
+    """
+
+    READS_PER_SECOND = 24.0
+    READ_BURST = 8.0
+    WRITES_PER_SECOND = 2.0
+    WRITE_BURST = 1.0
+
+
+class ResponseLost(Exception):
+    """A request was sent and no response came; it may have taken effect."""
 
 
 class PlatformClient:
-    """Reads the tables and the VM list.
+    """Exchanges with the platform under timeouts, budgets and a circuit breaker.
 
     :param url: base URL of the platform
-    :param timeout_ms: time limit of one exchange
+    :param clock: source of time
+    :param timeout_ms: time limit of one exchange, and of the wait for the budget
+    :param metrics: counters
+    :param limits: :class:`PlatformLimits` or an object with the same attributes
+    :param generator: :class:`numpy.random.Generator` for the jitter
     """
 
-    def __init__(self, *, url, timeout_ms=1000.0):
+    def __init__(
+        self,
+        *,
+        url,
+        clock=None,
+        timeout_ms=1000.0,
+        metrics=None,
+        limits=PlatformLimits,
+        generator=None,
+    ):
         self._netloc = urllib.parse.urlsplit(url).netloc
+        self._clock = clock or SystemClock()
         self._timeout_ms = timeout_ms
+        self._metrics = metrics or Metrics()
+        self._generator = generator or numpy.random.default_rng()
+        self._breaker = CircuitBreaker(clock=self._clock, generator=self._generator)
+        self._retries = RetryBudget()
+        self._reads = RateBudget(
+            clock=self._clock,
+            per_second=limits.READS_PER_SECOND,
+            burst=limits.READ_BURST,
+        )
+        self._writes = RateBudget(
+            clock=self._clock,
+            per_second=limits.WRITES_PER_SECOND,
+            burst=limits.WRITE_BURST,
+        )
 
-    def read_tables(self):
-        """Return both tables at one revision.
+    @property
+    def breaker(self):
+        """The :class:`CircuitBreaker`."""
+        return self._breaker
 
-        :raises StoreUnavailable: when the service did not answer
+    @property
+    def metrics(self):
+        """Counters of reads, writes, retries and failures."""
+        return self._metrics
+
+    def get(self, target):
+        """Read, with retries.
+
+        :param target: path and query
+        :returns: status and body bytes; the status is below 500
+        :raises StoreUnavailable: when no attempt succeeded
         """
-        document = self._get("/v1/tables")
-        return Tables(
-            revision=document["revision"],
-            routes={
-                name: RouteDocument.model_validate(row).to_model(name)
-                for name, row in document["routes"].items()
-            },
-            pools={
-                name: PoolDocument.model_validate(row).to_model(name)
-                for name, row in document["pools"].items()
-            },
-        )
+        return self.with_retries(lambda: self._get_once(target))
+
+    def get_document(self, target):
+        """Read a JSON document, with retries.
+
+        :raises StoreUnavailable: when no attempt succeeded
+        """
+        return self.with_retries(lambda: self.get_document_once(target))
+
+    def get_document_once(self, target):
+        """Read a JSON document, in one attempt.
+
+        :raises StoreUnavailable: when the attempt failed
+        """
+        status, body = self._get_once(target)
+        if status != 200:
+            raise StoreUnavailable(f"GET {target} returned {status}")
+        return orjson.loads(body)
 
-    def read(self):
-        """Return the rows of the VM list.
+    def with_retries(self, attempt):
+        """Call ``attempt`` until it succeeds or the attempts are used up.
 
-        :raises StoreUnavailable: when the service did not answer
+        :param attempt: function that raises :class:`StoreUnavailable` on failure
+        :raises StoreUnavailable: the failure of the last attempt
         """
-        return tuple(VirtualMachine(**row) for row in self._get("/v1/vms")["vms"])
+        self._retries.record_call()
+        for number in range(1, ATTEMPTS + 1):
+            try:
+                return attempt()
+            except StoreUnavailable:
+                if number == ATTEMPTS or not self.pause_before_retry(number):
+                    raise
+        raise AssertionError("the last attempt returns or raises")
 
-    def _get(self, target):
+    def pause_before_retry(self, number):
+        """Wait with exponential backoff and jitter.
+
+        :param number: number of the attempt that failed, from 1
+        :returns: whether the retry budget allows another attempt
+        """
+        if not self._retries.take():
+            return False
+        self._metrics.count("store_retries_total")
+        scale = BACKOFF_MS * 2.0 ** (number - 1)
+        self._clock.sleep(scale * (0.5 + self._generator.random()))
+        return True
+
+    def send_once(self, method, target, body):
+        """Write, in one attempt.
+
+        :returns: status and body bytes; the status is below 500
+        :raises StoreUnavailable: the write certainly had no effect
+        :raises ResponseLost: the write may have taken effect
+        """
+        self._take(self._writes, "writes")
+        return self._exchange(method, target, body)
+
+    def _get_once(self, target):
+        self._take(self._reads, "reads")
+        try:
+            return self._exchange("GET", target, None)
+        except ResponseLost as error:
+            raise StoreUnavailable(str(error)) from error
+
+    def _take(self, budget, kind):
+        self._breaker.admit()
+        if not budget.take(wait_ms=self._timeout_ms):
+            raise StoreUnavailable(
+                f"this entry's budget of {kind} is used up", code="budget"
+            )
+        self._metrics.count(f"store_{kind}_total")
+
+    def _exchange(self, method, target, body):
         connection = http.client.HTTPConnection(
             self._netloc, timeout=self._timeout_ms / 1e3
         )
         try:
-            connection.request("GET", target)
-            response = connection.getresponse()
-            body = response.read()
-            if response.status != 200:
-                raise StoreUnavailable(f"GET {target} returned {response.status}")
-            return orjson.loads(body)
-        except (OSError, http.client.HTTPException) as error:
-            raise StoreUnavailable(f"GET {target} failed: {error!r}") from error
+            self._connect(connection)
+            status, content = self._request(connection, method, target, body)
         finally:
             connection.close()
+        if status == 503:
+            # The platform's certificate that it did nothing.
+            self._fail()
+            raise StoreUnavailable(f"{method} {target} returned 503")
+        if status >= 500:
+            self._fail()
+            raise ResponseLost(f"{method} {target} returned {status}")
+        self._breaker.record_success()
+        return status, content
+
+    def _connect(self, connection):
+        try:
+            connection.connect()
+        except OSError as error:
+            self._fail()
+            raise StoreUnavailable(f"no connection: {error!r}") from error
+
+    def _request(self, connection, method, target, body):
+        try:
+            connection.request(method, target, body=body)
+            response = connection.getresponse()
+            return response.status, response.read()
+        except (OSError, http.client.HTTPException) as error:
+            self._fail()
+            raise ResponseLost(f"{method} {target} failed: {error!r}") from error
+
+    def _fail(self):
+        self._breaker.record_failure()
+        self._metrics.count("store_failures_total")
--- a/src/monsoonline/core/documents.py
+++ b/src/monsoonline/core/documents.py
@@ -1,5 +1,8 @@
 """Validated documents of table rows and their conversion to the model."""
 
+import re
+import typing
+
 import pydantic
 
 from monsoonline.core.model import (
@@ -11,8 +14,16 @@
     Tolerance,
     Upstream,
 )
+from monsoonline.errors import Finding, FindingsError
 
-__all__ = ["PoolDocument", "RouteDocument"]
+__all__ = [
+    "DOCUMENTS",
+    "PoolDocument",
+    "RouteDocument",
+    "row_findings",
+    "parse_row",
+    "tables_findings",
+]
 
 NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
 
@@ -114,6 +125,16 @@
     )
     policy: str = "adaptive"
 
+    @pydantic.field_validator("upstreams")
+    @classmethod
+    def _check_addresses(cls, upstreams):
+        seen = set()
+        for upstream in upstreams:
+            if upstream.address in seen:
+                raise ValueError(f"each address once; {upstream.address!r} repeats")
+            seen.add(upstream.address)
+        return upstreams
+
     def to_model(self, name):
         """Return the :class:`monsoonline.core.model.Pool` of this row.
 
@@ -128,3 +149,129 @@
             refusal_means=self.refusal_means,
             policy=self.policy,
         )
+
+
+DOCUMENTS = {"routes": RouteDocument, "pools": PoolDocument}
+
+
+def format_path(parts):
+    """Return a path such as ``pools.quotes.upstreams[0].slots``."""
+    text = ""
+    for part in parts:
+        if isinstance(part, int):
+            text += f"[{part}]"
+        else:
+            text += f".{part}" if text else str(part)
+    return text or "."
+
+
+def row_findings(table, name, document, *, place):
+    """Validate one row.
+
+    :param table: ``routes`` or ``pools``
+    :param name: name of the row
+    :param document: the JSON value
+    :param place: file or request named in the findings
+    :returns: list of :class:`monsoonline.errors.Finding`, empty when valid
+    """
+    findings = []
+    if not re.match(NAME_PATTERN, name):
+        expected = f"a name that matches {NAME_PATTERN}"
+        path = format_path((table, name))
+        findings.append(Finding(place=place, path=path, value=name, expected=expected))
+    try:
+        DOCUMENTS[table].model_validate(document)
+    except pydantic.ValidationError as error:
+        findings.extend(
+            Finding(
+                place=place,
+                path=format_path((table, name, *item["loc"])),
+                value=None if item["type"] == "missing" else item["input"],
+                expected=expectation(item, DOCUMENTS[table]),
+            )
+            for item in error.errors(include_url=False)
+        )
+    return findings
+
+
+def expectation(item, model):
+    """Return what would have been valid, for one error of pydantic."""
+    if item["type"] == "missing":
+        return "a value; the field is required"
+    if item["type"] == "extra_forbidden":
+        return f"a known field; valid: {', '.join(fields_at(model, item['loc'][:-1]))}"
+    message = item["msg"]
+    for prefix in ("Value error, ", "Input should be ", "String should "):
+        message = message.removeprefix(prefix)
+    return message
+
+
+def fields_at(model, path):
+    """Return the field names of the document at a path below ``model``."""
+    for part in path:
+        if isinstance(part, int):
+            continue
+        annotation = model.model_fields[part].annotation
+        model = next(
+            (a for a in typing.get_args(annotation) if a is not Ellipsis), annotation
+        )
+    return sorted(model.model_fields)
+
+
+def parse_row(table, name, document, *, place):
+    """Validate one row and convert it to the model.
+
+    :returns: a :class:`Route` or :class:`Pool`
+    :raises FindingsError: with all findings of the row
+    """
+    findings = row_findings(table, name, document, place=place)
+    if findings:
+        raise FindingsError(findings)
+    return DOCUMENTS[table].model_validate(document).to_model(name)
+
+
+def tables_findings(document, *, place):
+    """Validate a document with ``routes`` and ``pools`` and their references.
+
+    A table that is absent is not checked, and neither are references to it.
+
+    :param document: the JSON value
+    :param place: file named in the findings
+    :returns: list of :class:`monsoonline.errors.Finding`, empty when valid
+    """
+    findings = []
+    for table, rows in document.items():
+        if table not in DOCUMENTS:
+            expected = f"a known table; valid: {', '.join(sorted(DOCUMENTS))}"
+            findings.append(
+                Finding(place=place, path=table, value=table, expected=expected)
+            )
+        elif not isinstance(rows, dict):
+            expected = "an object from row names to rows"
+            findings.append(
+                Finding(place=place, path=table, value=rows, expected=expected)
+            )
+        else:
+            for name, row in rows.items():
+                findings.extend(row_findings(table, name, row, place=place))
+    return findings + reference_findings(document, place=place)
+
+
+def reference_findings(document, *, place):
+    """Return findings for routes that name a pool which does not exist."""
+    routes, pools = document.get("routes"), document.get("pools")
+    if not isinstance(routes, dict) or not isinstance(pools, dict):
+        return []
+    valid = ", ".join(sorted(pools)) or "none"
+    return [
+        Finding(
+            place=place,
+            path=f"routes.{name}.pool",
+            value=route["pool"],
+            expected=f"the name of a pool; valid: {valid}",
+        )
+        for name, route in routes.items()
+        if isinstance(route, dict)
+        and isinstance(route.get("pool"), str)
+        and route["pool"] not in pools
+    ]
--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -8,6 +8,7 @@
 from monsoonline.adapters.http_server import HttpServer
 from monsoonline.adapters.http_upstream import HttpUpstreamTransport
 from monsoonline.adapters.platform import PlatformClient
+from monsoonline.adapters.table_store import HttpTableStore
 from monsoonline.clock import SystemClock
 from monsoonline.core.dispatch import Dispatcher
 from monsoonline.core.ledger import Ledger
@@ -41,8 +42,12 @@
         self._ledger = Ledger(clock=self._clock)
         self._dispatcher = Dispatcher(clock=self._clock)
         self._platform = PlatformClient(
-            url=settings.platform.url, timeout_ms=settings.platform.timeout_ms
+            url=settings.platform.url,
+            clock=self._clock,
+            timeout_ms=settings.platform.timeout_ms,
+            metrics=self._metrics,
         )
+        self._store = HttpTableStore(client=self._platform)
         self._relay = Relay(
             clock=self._clock,
             dispatcher=self._dispatcher,
@@ -116,9 +121,8 @@
 
     def _refresh(self):
         try:
-            tables = self._platform.read_tables()
+            tables = self._store.read_tables()
         except StoreUnavailable:
-            self._metrics.count("store_failures_total")
             return
         if self._tables is None or tables.revision > self._tables.revision:
             self._dispatcher.update_tables(tables)
--- a/src/monsoonline/errors.py
+++ b/src/monsoonline/errors.py
@@ -7,10 +7,13 @@
 __all__ = [
     "CommitUnknown",
     "EditConflict",
+    "EditRefused",
     "Finding",
     "FindingsError",
     "MonsoonlineError",
+    "PeerUnavailable",
     "Refusal",
+    "StaleRead",
     "StoreUnavailable",
 ]
 
@@ -152,3 +155,25 @@
     def current(self):
         """The row's current version, or ``None`` where it does not exist."""
         return self._current
+
+
+class EditRefused(MonsoonlineError):
+    """A rule forbids the edit, whatever the row's version.
+
+    The codes are ``other-department``, ``missing-pool``, ``pool-in-use``,
+    ``missing-row`` and ``change-id-reused``.
+    """
+
+    default_code = "edit-refused"
+
+
+class StaleRead(StoreUnavailable):
+    """A read returned an older revision than one already seen."""
+
+    default_code = "stale-read"
+
+
+class PeerUnavailable(MonsoonlineError):
+    """A peer did not reply in time."""
+
+    default_code = "peer-unavailable"
--- a/src/monsoonline/ports.py
+++ b/src/monsoonline/ports.py
@@ -12,6 +12,8 @@
     "ObjectStore",
     "PeerNetwork",
     "ProposedChange",
+    "Row",
+    "RowsAt",
     "SharedItem",
     "TableStore",
     "UpstreamTransport",
@@ -31,6 +33,8 @@
     :param expected_version: row version that the editor read, 0 for a new row,
         ``None`` for an unconditional edit
     :param document: the row's new content as a JSON object, ``None`` to delete it
+    :param author: person who made the edit, for display
+    :param wall_ms: time of day of the edit, for display only
     """
 
     change_id: str
@@ -39,6 +43,8 @@
     department: str
     expected_version: int | None
     document: dict | None
+    author: str = ""
+    wall_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,13 +52,39 @@
     """A committed edit.
 
     :param revision: position among all changes
-    :param version: the row's version after the change
+    :param version: the row's version after the change, 0 when it was deleted
     :param proposal: what was committed
+    :param before: the row's version before the change, 0 when it did not exist
     """
 
     revision: int
     version: int
     proposal: ProposedChange
+    before: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Row:
+    """One row of a table as stored.
+
+    :param table: ``routes`` or ``pools``
+    :param name: name of the row
+    :param version: revision of the change that wrote it
+    :param document: content as a JSON object
+    """
+
+    table: str
+    name: str
+    version: int
+    document: dict
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RowsAt:
+    """All rows at one revision."""
+
+    revision: int
+    rows: tuple[Row, ...]
 
 
 class TableStore(Protocol):
@@ -64,9 +96,21 @@
     def revision(self) -> int:
         """Return the revision of the last committed change."""
 
+    def observe_revision(self, revision: int) -> None:
+        """Treat reads below this revision as stale from now on."""
+
     def read_tables(self) -> Tables:
         """Return both tables at one revision."""
 
+    def read_rows(self) -> RowsAt:
+        """Return the rows of both tables at one revision."""
+
+    def read_row(self, table: str, name: str) -> Row | None:
+        """Return one row, or ``None``."""
+
+    def read_history(self, table: str, name: str) -> tuple[Change, ...]:
+        """Return the changes of one row, in order."""
+
     def read_changes(self, since: int) -> tuple[Change, ...]:
         """Return the changes after a revision, in order."""
 
@@ -76,6 +120,8 @@
         :raises StoreUnavailable: the edit was certainly not applied
         :raises CommitUnknown: the answer was lost
         :raises EditConflict: the row changed since the editor read it
+        :raises EditRefused: a rule forbids the edit
+        :raises FindingsError: the document is not valid
         """
 
     def find_change(self, change_id: str) -> Change | None:
--- /dev/null
+++ b/tests/adapters/test_table_store.py
@@ -0,0 +1,169 @@
+"""Tests of the store client against the platform stand-in."""
+
+import threading
+import unittest
+from unittest import mock
+
+from monsoonline.adapters.platform import PlatformClient, PlatformLimits
+from monsoonline.clock import SystemClock
+from monsoonline.errors import (
+    CommitUnknown,
+    EditConflict,
+    EditRefused,
+    FindingsError,
+    StaleRead,
+    StoreUnavailable,
+)
+from monsoonline.standin.platform import PlatformStandIn
+from tests.fixtures import edit, pool_document, route_document, table_store
+
+ENTRIES = 22
+READ_LIMIT = 1000
+WRITE_LIMIT = 100
+
+
+class TestHttpTableStore(unittest.TestCase):
+    """Edits and reads under faults."""
+
+    def setUp(self):
+        self.platform = PlatformStandIn()
+        self.platform.start()
+        self.addCleanup(self.platform.close)
+        self.store = table_store(self.platform)
+        self.store.commit(edit("pools", "quotes", pool_document()))
+
+    def refused(self, change, code):
+        with self.assertRaises(EditRefused) as raised:
+            self.store.commit(change)
+        self.assertEqual(raised.exception.code, code)
+
+    def test_lost_response_is_resolved_by_the_change_id(self):
+        self.platform.set_faults("tables", lose_responses=1)
+        change = self.store.commit(edit("routes", "lookup", route_document()))
+        self.assertEqual((change.revision, self.platform.tables.revision()), (2, 2))
+
+    def test_unresolved_lost_response_is_unknown_and_a_resend_applies_once(self):
+        self.platform.set_faults("tables", lose_responses=1)
+        proposal = edit("routes", "lookup", route_document())
+        outage = StoreUnavailable("outage")
+        with mock.patch.object(self.store, "find_change", side_effect=outage):
+            self.assertRaises(CommitUnknown, self.store.commit, proposal)
+        self.assertEqual(self.store.find_change(proposal.change_id).revision, 2)
+        self.assertEqual(self.store.commit(proposal).revision, 2)
+        self.assertEqual(self.platform.tables.revision(), 2)
+
+    def test_resend_over_a_newer_edit_returns_the_first_result(self):
+        """Guards against a retry that overwrites the newer edit."""
+        first = edit("pools", "quotes", pool_document(slots=4), expected=1)
+        self.assertEqual(self.store.commit(first).revision, 2)
+        self.store.commit(edit("pools", "quotes", pool_document(slots=5), expected=2))
+        self.assertEqual(self.store.commit(first).revision, 2)
+        row = self.store.read_row("pools", "quotes")
+        self.assertEqual(row.document["upstreams"][0]["slots"], 5)
+
+    def test_change_id_of_another_edit_is_refused(self):
+        first = edit("pools", "quotes", pool_document(slots=4), expected=1)
+        self.store.commit(first)
+        other = edit("pools", "stock", pool_document(), change_id=first.change_id)
+        self.refused(other, "change-id-reused")
+
+    def test_outage_is_certainly_not_applied_and_opens_the_breaker(self):
+        self.platform.set_faults("tables", outage=True)
+        change = edit("routes", "lookup", route_document())
+        for _ in range(3):
+            self.assertRaises(StoreUnavailable, self.store.commit, change)
+        self.platform.reset_counters()
+        self.assertRaises(StoreUnavailable, self.store.commit, change)
+        self.assertEqual(self.platform.counters()["reads"]["total"], 0)
+
+    def test_stale_read_is_detected_and_not_used(self):
+        self.store.commit(edit("routes", "lookup", route_document()))
+        self.platform.set_faults("tables", stale=1)
+        self.assertRaises(StaleRead, self.store.read_tables)
+        restarted = table_store(self.platform)
+        self.assertEqual(restarted.revision(), 1)
+        restarted.observe_revision(2)
+        self.assertRaises(StaleRead, restarted.revision)
+
+    def test_stale_read_does_not_turn_an_edit_into_a_conflict(self):
+        self.store.commit(edit("pools", "quotes", pool_document(), expected=1))
+        self.platform.set_faults("tables", stale=1)
+        change = edit("pools", "quotes", pool_document(slots=9), expected=2)
+        restarted = table_store(self.platform)
+        self.assertRaises(StaleRead, restarted.commit, change)
+
+    def test_slow_store_is_unavailable_after_the_timeout(self):
+        slow = table_store(self.platform, timeout_ms=30.0)
+        self.platform.set_faults("tables", slow_ms=150.0)
+        self.assertRaises(StoreUnavailable, slow.revision)
+
+    def test_rules_of_edits(self):
+        route = route_document()
+        self.refused(edit("routes", "a", route_document(pool="no")), "missing-pool")
+        foreign = edit("pools", "quotes", None, expected=1, department="stock")
+        self.refused(foreign, "other-department")
+        given_away = pool_document(department="stock")
+        self.refused(
+            edit("pools", "quotes", given_away, expected=1), "other-department"
+        )
+        self.store.commit(edit("routes", "lookup", route))
+        self.refused(edit("pools", "quotes", None, expected=1), "pool-in-use")
+        self.refused(edit("routes", "gone", None), "missing-row")
+        with self.assertRaises(EditConflict) as raised:
+            self.store.commit(edit("routes", "lookup", route, expected=1))
+        self.assertEqual(raised.exception.current.version, 2)
+        bad = edit("pools", "new", pool_document(slots=0))
+        self.assertRaises(FindingsError, self.store.commit, bad)
+
+    def test_pool_deleted_between_read_and_commit_refuses_the_route(self):
+        """Guards against a reference rule checked by a read before the write."""
+        departments = table_store(self.platform)
+        read_row = self.store._read_row
+
+        def read_then_lose_the_pool(*arguments, **options):
+            row = read_row(*arguments, **options)
+            departments.commit(edit("pools", "quotes", None, expected=1))
+            return row
+
+        with mock.patch.object(self.store, "_read_row", read_then_lose_the_pool):
+            self.refused(edit("routes", "lookup", route_document()), "missing-pool")
+
+
+class TestPlatformLimits(unittest.TestCase):
+    """The store's limits for 22 entries."""
+
+    def test_all_entries_restarting_at_once_stay_under_the_limits(self):
+        platform = PlatformStandIn()
+        platform.start()
+        self.addCleanup(platform.close)
+        clock = SystemClock()
+        for _ in range(2):
+            self.run_generation(platform, clock, clock.now() + 1100.0)
+        counters = platform.counters()
+        self.assertLess(counters["reads"]["max_per_second"], READ_LIMIT)
+        self.assertLess(counters["writes"]["max_per_second"], WRITE_LIMIT)
+        # Less than half the budget in use would not show that the limit holds.
+        self.assertGreater(counters["reads"]["max_per_second"], READ_LIMIT / 2)
+        self.assertGreater(counters["writes"]["max_per_second"], WRITE_LIMIT / 2)
+
+    def run_generation(self, platform, clock, end):
+        barrier = threading.Barrier(2 * ENTRIES)
+
+        def ask(call):
+            barrier.wait()
+            while clock.now() < end:
+                try:
+                    call()
+                except StoreUnavailable:
+                    clock.sleep(5.0)
+
+        threads = []
+        for _ in range(ENTRIES):
+            client = PlatformClient(url=platform.url, limits=PlatformLimits)
+            read = lambda c=client: c.get("/v1/tables/revision")
+            write = lambda c=client: c.send_once("PUT", "/v1/objects/x", b"")
+            threads += [threading.Thread(target=ask, args=(c,)) for c in (read, write)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
