Keep the tables in effect by monotonic revisions

Cause: an entry read the complete tables every second, took readiness from the first read and could not learn anything from other entries. A first read of the store is compared with up to three peers, because a restarted entry cannot tell a stale read. Conclusion: no source of tables can move an entry to an older revision.

--- a/src/monsoonline/core/documents.py
+++ b/src/monsoonline/core/documents.py
@@ -224,10 +224,13 @@
     :returns: a :class:`Route` or :class:`Pool`
     :raises FindingsError: with all findings of the row
     """
-    findings = row_findings(table, name, document, place=place)
-    if findings:
-        raise FindingsError(findings)
-    return DOCUMENTS[table].model_validate(document).to_model(name)
+    try:
+        row = DOCUMENTS[table].model_validate(document)
+    except pydantic.ValidationError:
+        row = None
+    if row is None or not re.match(NAME_PATTERN, name):
+        raise FindingsError(row_findings(table, name, document, place=place))
+    return row.to_model(name)
 
 
 def tables_findings(document, *, place):
--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -1,32 +1,28 @@
 """Composition of one entry process."""
 
-import logging
-import threading
-
 import orjson
 
+from monsoonline.adapters.configuration_codec import ConfigurationCodec
 from monsoonline.adapters.http_server import HttpServer
 from monsoonline.adapters.http_upstream import HttpUpstreamTransport
+from monsoonline.adapters.object_store import HttpObjectStore
 from monsoonline.adapters.platform import PlatformClient
 from monsoonline.adapters.table_store import HttpTableStore
 from monsoonline.clock import SystemClock
+from monsoonline.core.configuration import Configuration
 from monsoonline.core.dispatch import Dispatcher
 from monsoonline.core.ledger import Ledger
 from monsoonline.core.routing import RouteTable
 from monsoonline.entry.discovery import Discovery
 from monsoonline.entry.relay import Relay
-from monsoonline.errors import StoreUnavailable
 from monsoonline.metrics import Metrics
 from monsoonline.ports import Member
 from monsoonline.types import Answer
 
 __all__ = ["EntryService"]
 
-POLL_INTERVAL_MS = 1000.0
 OPERATIONS_WORKERS = 4
 
-logger = logging.getLogger(__name__)
-
 
 class EntryService:
     """One entry: callers' port, operations port and the upkeep of its tables.
@@ -48,6 +44,14 @@
             metrics=self._metrics,
         )
         self._store = HttpTableStore(client=self._platform)
+        self._configuration = Configuration(
+            name=settings.name,
+            clock=self._clock,
+            store=self._store,
+            objects=HttpObjectStore(client=self._platform),
+            codec=ConfigurationCodec(),
+            metrics=self._metrics,
+        )
         self._relay = Relay(
             clock=self._clock,
             dispatcher=self._dispatcher,
@@ -60,8 +64,7 @@
             ledger=self._ledger,
             lifetime_ms=settings.discovery_lifetime_ms,
         )
-        self._tables = None
-        self._stopping = threading.Event()
+        self._configuration.subscribe(self._use_tables)
         self._callers = HttpServer(
             handler=self._handle_caller,
             host=settings.callers.host,
@@ -88,7 +91,7 @@
     @property
     def ready(self):
         """Whether callers may be sent here."""
-        return self._tables is not None
+        return self._configuration.ready
 
     def members(self):
         """Return the members that this entry knows."""
@@ -104,32 +107,19 @@
 
     def start(self):
         """Start serving."""
-        self._refresh()
+        self._configuration.start()
         self._callers.start()
         self._operations.start()
-        threading.Thread(target=self._poll, name="tables", daemon=True).start()
 
     def close(self):
         """Stop serving."""
-        self._stopping.set()
+        self._configuration.close()
         self._callers.close()
         self._operations.close()
 
-    def _poll(self):
-        while not self._stopping.wait(POLL_INTERVAL_MS / 1e3):
-            self._refresh()
-
-    def _refresh(self):
-        try:
-            tables = self._store.read_tables()
-        except StoreUnavailable:
-            return
-        if self._tables is None or tables.revision > self._tables.revision:
-            self._dispatcher.update_tables(tables)
-            self._relay.use_routes(RouteTable(routes=tables.routes.values()))
-            self._tables = tables
-            self._metrics.gauge("revision", tables.revision)
-            logger.info("tables in effect", extra={"revision": tables.revision})
+    def _use_tables(self, tables):
+        self._dispatcher.update_tables(tables)
+        self._relay.use_routes(RouteTable(routes=tables.routes.values()))
 
     def _handle_caller(self, request):
         return self._discovery.handle(request) or self._relay.handle(request)
@@ -146,7 +136,7 @@
             status = {
                 "name": self._settings.name,
                 "ready": self.ready,
-                "revision": self._tables.revision if self._tables else None,
+                "revision": self._configuration.revision,
             }
             return Answer(status=200, body=orjson.dumps(status))
         return Answer(status=404)
--- a/src/monsoonline/standin/platform.py
+++ b/src/monsoonline/standin/platform.py
@@ -57,7 +57,7 @@
         self._reads = RateCounter(clock=self._clock)
         self._writes = RateCounter(clock=self._clock)
         self._server = HttpServer(
-            handler=self._handle, host=host, port=port, workers=WORKERS
+            handler=self.handle, host=host, port=port, workers=WORKERS
         )
 
     @property
@@ -114,7 +114,13 @@
         self._reads.reset()
         self._writes.reset()
 
-    def _handle(self, request):
+    def handle(self, request):
+        """Answer one request; also used by tests without sockets.
+
+        :param request: :class:`monsoonline.types.Request`
+        :returns: :class:`monsoonline.types.Answer`
+        :raises ClientDisconnected: when the response is lost
+        """
         parts = request.path.strip("/").split("/")
         if parts[0] == "control":
             return self._control(request, parts[1:])
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -2,9 +2,21 @@
 
 import itertools
 
-from monsoonline.adapters.platform import PlatformClient
+import numpy
+import orjson
+from waitress.channel import ClientDisconnected
+
+from monsoonline.adapters.configuration_codec import ConfigurationCodec
+from monsoonline.adapters.object_store import HttpObjectStore
+from monsoonline.adapters.platform import PlatformClient, ResponseLost
 from monsoonline.adapters.table_store import HttpTableStore
-from monsoonline.ports import ProposedChange
+from monsoonline.clock import ManualClock
+from monsoonline.core.configuration import Configuration
+from monsoonline.errors import PeerUnavailable, StoreUnavailable
+from monsoonline.metrics import Metrics
+from monsoonline.ports import Member, ProposedChange
+from monsoonline.standin.platform import PlatformStandIn
+from monsoonline.types import Request
 
 numbers = itertools.count(1)
 
@@ -42,3 +54,124 @@
     return HttpTableStore(
         client=PlatformClient(url=platform.url, limits=limits, **options)
     )
+
+
+class DirectClient:
+    """Stands in for the HTTP client: calls the stand-in without sockets or waits."""
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.metrics = Metrics()
+
+    def with_retries(self, attempt):
+        return attempt()
+
+    def pause_before_retry(self, number):
+        return True
+
+    def get(self, target):
+        try:
+            return self.send_once("GET", target, b"")
+        except ResponseLost as error:
+            raise StoreUnavailable(str(error)) from error
+
+    def get_document_once(self, target):
+        return orjson.loads(self.get(target)[1])
+
+    def send_once(self, method, target, body):
+        request = Request(method=method, host="", target=target, body=body)
+        try:
+            answer = self.platform.handle(request)
+        except ClientDisconnected:
+            raise ResponseLost("lost") from None
+        if answer.status == 503:
+            raise StoreUnavailable("outage")
+        return answer.status, answer.body
+
+
+class MemoryNetwork:
+    """Peer messages by function calls, with entries that can be cut off."""
+
+    MESSAGE_LIMIT_BYTES = 1 << 20
+
+    def __init__(self):
+        self.entries = {}
+        self.handlers = {}
+        self.cut = set()
+        self.gossip = True
+        self.sizes = []
+
+    def port(self, name):
+        self.handlers[name] = {}
+        return MemoryPeers(self, name)
+
+    def request(self, sender, name, kind, payload):
+        if {sender, name} & self.cut:
+            raise PeerUnavailable(f"{name!r} does not reply")
+        reply = self.handlers[name][kind](sender, payload)
+        for content in (payload, reply):
+            self.sizes.append(len(content))
+            if len(content) > self.MESSAGE_LIMIT_BYTES:
+                raise AssertionError(f"message of {len(content)} bytes")
+        return reply
+
+
+class MemoryPeers:
+    """The PeerNetwork port of one entry."""
+
+    def __init__(self, network, name):
+        self.network = network
+        self.name = name
+
+    def members(self):
+        return tuple(
+            Member(
+                name=name,
+                incarnation=name,
+                address="",
+                peer_address="",
+                failure_domain="",
+                ready=entry.ready,
+                revision=entry.revision if self.network.gossip else 0,
+            )
+            for name, entry in self.network.entries.items()
+        )
+
+    def request(self, member, kind, payload, *, timeout_ms):
+        return self.network.request(self.name, member.name, kind, payload)
+
+    def serve(self, kind, handler):
+        self.network.handlers[self.name][kind] = handler
+
+
+class Deployment:
+    """Entries' configurations over one stand-in platform and a manual clock."""
+
+    def __init__(self, test):
+        self.clock = ManualClock()
+        self.platform = PlatformStandIn()
+        test.addCleanup(self.platform.close)
+        self.network = MemoryNetwork()
+        self.test = test
+
+    def start(self, *names):
+        """Start or restart entries; each polls once."""
+        return [self.start_one(name) for name in names]
+
+    def start_one(self, name):
+        client = DirectClient(self.platform)
+        entry = Configuration(
+            name=name,
+            clock=self.clock,
+            store=HttpTableStore(client=client),
+            objects=HttpObjectStore(client=client),
+            network=self.network.port(name),
+            codec=ConfigurationCodec(),
+            metrics=client.metrics,
+            generator=numpy.random.default_rng(7),
+        )
+        entry.metrics = client.metrics
+        self.test.addCleanup(entry.close)
+        self.network.entries[name] = entry
+        entry.poll()
+        return entry
