--- a/src/monsoonline/entry/lifecycle.py
+++ b/src/monsoonline/entry/lifecycle.py
@@ -1,4 +1,4 @@
-"""States of an entry, its graceful stop, and detection of pauses."""
+"""States of an entry and its graceful stop."""
 
 import dataclasses
 import enum
@@ -11,13 +11,10 @@
 __all__ = [
     "EntryState",
     "Lifecycle",
-    "PauseDetector",
     "StopReport",
     "StopTimes",
 ]
 
-PAUSE_GAP_MS = 2000.0
-TICK_INTERVAL_MS = 250.0
 STEP_MS = 20.0
 
 logger = logging.getLogger(__name__)
@@ -73,77 +70,6 @@
         return 1 if self.cut or self.shortened else 0
 
 
-class PauseDetector:
-    """Notices that this process stood still.
-
-    Other entries may have decided about this one's keys, upstreams or tables during
-    the gap, so it starts no non-idempotent work until :meth:`heard` is called.
-
-    :param clock: source of time
-    :param on_pause: called with the gap in ms, may be ``None``
-    """
-
-    def __init__(self, *, clock, on_pause=None):
-        self._clock = clock
-        self._on_pause = on_pause
-        self._lock = threading.Lock()
-        self._last_tick = clock.now()
-        self._noticed_at = clock.now()
-        self._paused = False
-        self._pauses = 0
-
-    @property
-    def paused(self):
-        """Whether a pause was noticed and nothing was heard since."""
-        return self._paused
-
-    @property
-    def pauses(self):
-        """Number of pauses noticed."""
-        return self._pauses
-
-    def tick(self):
-        """Check the clock; called regularly and before each start of a key.
-
-        A worker may run before the regular thread after a pause, so the check must
-        not rely on that thread.
-        """
-        with self._lock:
-            now = self._clock.now()
-            gap_ms = now - self._last_tick
-            self._last_tick = max(now, self._last_tick)
-            if gap_ms <= PAUSE_GAP_MS:
-                return
-            self._paused = True
-            self._noticed_at = now
-            self._pauses += 1
-        logger.warning("the process was paused", extra={"gap_ms": round(gap_ms)})
-        if self._on_pause is not None:
-            self._on_pause(gap_ms)
-
-    def heard(self, *, asked_at):
-        """Note that the store or a peer replied.
-
-        :param asked_at: instant in ms at which it was asked; a reply to a question
-            from before the pause proves nothing about the time after it
-        """
-        self.tick()
-        with self._lock:
-            resumed = self._paused and asked_at >= self._noticed_at
-            if resumed:
-                self._paused = False
-        if resumed:
-            logger.info("heard the store or a peer after a pause")
-
-    def run(self, stopping):
-        """Tick until an event is set; the body of a thread.
-
-        :param stopping: :class:`threading.Event`
-        """
-        while not stopping.wait(TICK_INTERVAL_MS / 1e3):
-            self.tick()
-
-
 class Lifecycle:
     """Moves one entry through its states.
 
@@ -154,7 +80,7 @@
     :param close_keys: called before the handover; nothing starts afterwards
     :param hand_over: called once with no request in flight or at the limit
     :param on_state: called with each new :class:`EntryState`
-    :param detector: :class:`PauseDetector`
+    :param detector: :class:`monsoonline.core.contact.PauseDetector`
     """
 
     def __init__(
--- /dev/null
+++ b/src/monsoonline/entry/operations.py
@@ -0,0 +1,80 @@
+"""The operations port of an entry: metrics, health, status and service levels."""
+
+import dataclasses
+
+import orjson
+
+from monsoonline.types import Answer
+
+__all__ = ["Operations"]
+
+JSON_HEADERS = (("Content-Type", "application/json"),)
+
+
+def json_answer(document, *, status=200):
+    """Return an answer with a JSON body.
+
+    :param document: what :mod:`orjson` encodes
+    :param status: HTTP status code
+    """
+    return Answer(status=status, headers=JSON_HEADERS, body=orjson.dumps(document))
+
+
+class Operations:
+    """Answers the requests of operators and of the platform's health checks.
+
+    :param metrics: :class:`monsoonline.metrics.Metrics`
+    :param configuration: source of the routes in effect
+    :param service_levels: :class:`monsoonline.core.service_levels.ServiceLevels`
+    :param ready: function that tells whether callers may be sent here
+    :param status: function that returns the status document
+    :param administration: :class:`monsoonline.entry.administration.Administration`,
+        or ``None``
+    """
+
+    def __init__(
+        self,
+        *,
+        metrics,
+        configuration,
+        service_levels,
+        ready,
+        status,
+        administration=None,
+    ):
+        self._metrics = metrics
+        self._configuration = configuration
+        self._service_levels = service_levels
+        self._ready = ready
+        self._status = status
+        self._administration = administration
+        self._handlers = {
+            "/metrics": self._answer_metrics,
+            "/healthz": lambda: Answer(status=200, body=b"ok\n"),
+            "/readyz": lambda: Answer(status=200 if self._ready() else 503),
+            "/status": lambda: json_answer(self._status()),
+            "/v1/service-levels": self._answer_service_levels,
+        }
+
+    def handle(self, request):
+        """Answer one request."""
+        handler = self._handlers.get(request.path)
+        if handler is not None:
+            return handler()
+        if self._administration is not None:
+            return self._administration.handle(request)
+        return Answer(status=404)
+
+    def _answer_metrics(self):
+        content, headers = self._metrics.render()
+        return Answer(status=200, headers=tuple(headers.items()), body=content)
+
+    def _answer_service_levels(self):
+        routes = self._configuration.tables.routes.values()
+        windows = self._service_levels.windows(routes)
+        return json_answer(
+            {
+                "history_ms": self._service_levels.history_ms,
+                "routes": [dataclasses.asdict(counts) for counts in windows],
+            }
+        )
--- a/src/monsoonline/entry/relay.py
+++ b/src/monsoonline/entry/relay.py
@@ -28,6 +28,7 @@
 DEADLINE_VALUE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?")
 FINGERPRINT_BYTES = 16
 HEDGE_THREADS = 256
+CALLER_FAULTS = frozenset((400, 413, 422, 428, 431))
 
 logger = logging.getLogger(__name__)
 
@@ -67,14 +68,19 @@
     :param ledger: at-most-once records
     :param transport: exchanges with upstreams
     :param metrics: counters
+    :param service_levels: :class:`monsoonline.core.service_levels.ServiceLevels`,
+        ``None`` to keep no counts of success
     """
 
-    def __init__(self, *, clock, dispatcher, ledger, transport, metrics):
+    def __init__(
+        self, *, clock, dispatcher, ledger, transport, metrics, service_levels=None
+    ):
         self._clock = clock
         self._dispatcher = dispatcher
         self._ledger = ledger
         self._transport = transport
         self._metrics = metrics
+        self._service_levels = service_levels
         self._route_table = RouteTable(routes=())
         self._pools = {}
         self._hedges = concurrent.futures.ThreadPoolExecutor(
@@ -91,18 +97,32 @@
         started = self._clock.now()
         route = self._route_table.match(request)
         name = route.name if route else ""
+        refused = False
         try:
             answer = self._serve(route, request, started)
         except Refusal as refusal:
+            refused = True
             answer = self._refuse(name, refusal)
         except Exception:
+            refused = True
             logger.exception("request failed", extra={"route": name})
             answer = self._refuse(name, internal_refusal())
         elapsed = self._clock.now() - started
         self._metrics.count("requests_total", route=name, status=str(answer.status))
         self._metrics.observe("request_ms", elapsed, route=name)
+        self._count_success(route, answer, elapsed, refused)
         return answer
 
+    def _count_success(self, route, answer, elapsed, refused):
+        if route is None or self._service_levels is None:
+            return
+        # A request that its caller got wrong says nothing about the service.
+        if refused and answer.status in CALLER_FAULTS:
+            return
+        self._service_levels.record(
+            route, status=answer.status, latency_ms=elapsed, refused=refused
+        )
+
     def _refuse(self, name, refusal):
         self._metrics.count(
             "refusals_total",
--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -1,36 +1,31 @@
 """Composition of one entry process."""
 
-import logging
 import threading
 
-import orjson
-
+from monsoonline.adapters.configuration_codec import ConfigurationCodec
 from monsoonline.adapters.http_server import HttpServer
 from monsoonline.adapters.http_upstream import HttpUpstreamTransport
+from monsoonline.adapters.object_store import HttpObjectStore
 from monsoonline.adapters.platform import PlatformClient
+from monsoonline.adapters.table_store import HttpTableStore
 from monsoonline.clock import SystemClock
+from monsoonline.core.configuration import Configuration
+from monsoonline.core.contact import PauseDetector
 from monsoonline.core.dispatch import Dispatcher
 from monsoonline.core.ledger import Ledger
+from monsoonline.core.service_levels import ServiceLevels
 from monsoonline.entry.discovery import Discovery
 from monsoonline.entry.keys import KeyDirectory
-from monsoonline.entry.lifecycle import (
-    EntryState,
-    Lifecycle,
-    PauseDetector,
-    StopTimes,
-)
+from monsoonline.entry.lifecycle import EntryState, Lifecycle, StopTimes
+from monsoonline.entry.operations import Operations
 from monsoonline.entry.relay import Relay
-from monsoonline.errors import StoreUnavailable
 from monsoonline.metrics import Metrics
 from monsoonline.ports import Member
-from monsoonline.types import Answer
 
 __all__ = ["EntryService"]
 
-POLL_INTERVAL_MS = 1000.0
-OPERATIONS_WORKERS = 4
-
-logger = logging.getLogger(__name__)
+STATE_INTERVAL_MS = 250.0
+OPERATIONS_WORKERS = 64
 
 
 class EntryService:
@@ -46,37 +41,34 @@
         self._settings = settings
         self._clock = clock or SystemClock()
         self._metrics = Metrics()
-        self._peers = None
+        self._stopping = threading.Event()
         self._detector = PauseDetector(clock=self._clock)
+        self._service_levels = ServiceLevels(clock=self._clock)
+        self._peers = None
         self._callers = HttpServer(
             handler=self._handle_caller,
             host=settings.callers.host,
             port=settings.callers.port,
             workers=settings.workers,
         )
-        self._lifecycle = Lifecycle(
-            clock=self._clock,
-            times=StopTimes(
-                lifetime_ms=settings.discovery_lifetime_ms, **settings.stop.model_dump()
-            ),
-            server=self._callers,
-            close_keys=lambda: self._ledger.close(),
-            hand_over=lambda: self._keys.hand_over(),
-            on_state=self._on_state,
-            detector=self._detector,
-        )
+        self._lifecycle = self._make_lifecycle()
         self._ledger = Ledger(clock=self._clock, admission=self._lifecycle.admit)
-        self._peers = connect_peers(self._own_member()) if connect_peers else None
+        if connect_peers is not None:
+            self._peers = connect_peers(self._own_member())
         self._keys = KeyDirectory(
             ledger=self._ledger,
             peers=self._peers,
             clock=self._clock,
             metrics=self._metrics,
         )
-        self._dispatcher = Dispatcher(clock=self._clock)
         self._platform = PlatformClient(
-            url=settings.platform.url, timeout_ms=settings.platform.timeout_ms
+            url=settings.platform.url,
+            clock=self._clock,
+            timeout_ms=settings.platform.timeout_ms,
+            metrics=self._metrics,
         )
+        self._configuration = self._make_configuration()
+        self._dispatcher = Dispatcher(clock=self._clock)
         self._transport = HttpUpstreamTransport(
             clock=self._clock, count=self._metrics.connection_event
         )
@@ -86,20 +78,20 @@
             ledger=self._keys,
             transport=self._transport,
             metrics=self._metrics,
+            service_levels=self._service_levels,
         )
         self._discovery = Discovery(
             members=self.members,
             ledger=self._ledger,
             lifetime_ms=settings.discovery_lifetime_ms,
         )
-        self._tables = None
-        self._stopping = threading.Event()
         self._operations = HttpServer(
-            handler=self._handle_operations,
+            handler=self._make_operations().handle,
             host=settings.operations.host,
             port=settings.operations.port,
             workers=OPERATIONS_WORKERS,
         )
+        self._configuration.subscribe(self._use_tables)
 
     @property
     def callers_address(self):
@@ -114,7 +106,7 @@
     @property
     def ready(self):
         """Whether callers may be sent here."""
-        return self._lifecycle.ready
+        return self._lifecycle.ready and self._configuration.ready
 
     @property
     def incarnation(self):
@@ -132,36 +124,14 @@
             return (self._own_member(),)
         return self._peers.members()
 
-    def _own_member(self):
-        leaving = self.state not in (EntryState.STARTING, EntryState.READY)
-        return Member(
-            name=self._settings.name,
-            incarnation=self._ledger.incarnation,
-            address=self.callers_address,
-            peer_address="",
-            failure_domain=self._settings.failure_domain,
-            state="leaving" if leaving else "alive",
-            ready=self.ready,
-        )
-
-    def _on_state(self, state):
-        self._metrics.gauge("entry_ready", int(self.ready))
-        self._publish_state()
-
-    def _publish_state(self):
-        if self._peers is not None:
-            own = self._own_member()
-            self._peers.update(state=own.state, ready=own.ready)
-
     def start(self):
         """Start serving."""
-        self._refresh()
+        self._configuration.start()
         self._callers.start()
         self._operations.start()
-        threading.Thread(target=self._poll, name="tables", daemon=True).start()
-        threading.Thread(
-            target=self._detector.run, args=(self._stopping,), daemon=True
-        ).start()
+        self._follow_state()
+        for target in (self._run_state, self._run_detector):
+            threading.Thread(target=target, name=target.__name__, daemon=True).start()
 
     def stop(self):
         """Stop gracefully, then close.
@@ -179,49 +149,93 @@
     def close(self):
         """Stop serving at once."""
         self._stopping.set()
+        self._configuration.close()
         self._callers.close()
         self._operations.close()
         self._transport.close()
 
-    def _poll(self):
-        while not self._stopping.wait(POLL_INTERVAL_MS / 1e3):
-            self._refresh()
-
-    def _refresh(self):
-        asked_at = self._clock.now()
-        try:
-            tables = self._platform.read_tables()
-        except StoreUnavailable:
-            self._metrics.count("store_failures_total")
-            return
-        self._detector.heard(asked_at=asked_at)
-        if self._tables is None or tables.revision > self._tables.revision:
-            self._dispatcher.update_tables(tables)
-            self._transport.update_tables(tables, entries=len(self.members()))
-            self._relay.use_tables(tables)
-            self._tables = tables
-            self._metrics.gauge("revision", tables.revision)
-            logger.info("tables in effect", extra={"revision": tables.revision})
-        self._lifecycle.set_ready()
+    def _make_lifecycle(self):
+        settings = self._settings
+        return Lifecycle(
+            clock=self._clock,
+            times=StopTimes(
+                lifetime_ms=settings.discovery_lifetime_ms, **settings.stop.model_dump()
+            ),
+            server=self._callers,
+            close_keys=lambda: self._ledger.close(),
+            hand_over=lambda: self._keys.hand_over(),
+            on_state=lambda state: self._publish_state(),
+            detector=self._detector,
+        )
+
+    def _make_configuration(self):
+        return Configuration(
+            name=self._settings.name,
+            clock=self._clock,
+            store=HttpTableStore(client=self._platform),
+            objects=HttpObjectStore(client=self._platform),
+            codec=ConfigurationCodec(),
+            metrics=self._metrics,
+            network=self._peers,
+            detector=self._detector,
+        )
+
+    def _make_operations(self):
+        return Operations(
+            metrics=self._metrics,
+            configuration=self._configuration,
+            service_levels=self._service_levels,
+            ready=lambda: self.ready,
+            status=self._status,
+        )
+
+    def _status(self):
+        return {
+            "name": self._settings.name,
+            "incarnation": self.incarnation,
+            "ready": self.ready,
+            "state": self.state.value,
+            "isolated": self._configuration.isolated,
+            "revision": self._configuration.revision,
+            "table_age_ms": round(self._configuration.age_ms),
+        }
+
+    def _own_member(self):
+        leaving = self.state not in (EntryState.STARTING, EntryState.READY)
+        return Member(
+            name=self._settings.name,
+            incarnation=self._ledger.incarnation,
+            address=self.callers_address,
+            peer_address="",
+            failure_domain=self._settings.failure_domain,
+            state="leaving" if leaving else "alive",
+            ready=self._lifecycle.ready and not leaving,
+        )
+
+    def _use_tables(self, tables):
+        self._dispatcher.update_tables(tables)
+        self._transport.update_tables(tables, entries=len(self.members()))
+        self._relay.use_tables(tables)
+
+    def _run_detector(self):
+        self._detector.run(self._stopping)
+
+    def _run_state(self):
+        while not self._stopping.wait(STATE_INTERVAL_MS / 1e3):
+            self._follow_state()
+
+    def _follow_state(self):
+        """Become ready with the configuration, and tell the peers."""
+        if self._configuration.ready:
+            self._lifecycle.set_ready()
         self._publish_state()
 
+    def _publish_state(self):
+        ready = self.ready
+        self._metrics.gauge("entry_ready", int(ready))
+        if self._peers is not None:
+            leaving = self.state not in (EntryState.STARTING, EntryState.READY)
+            self._peers.update(state="leaving" if leaving else "alive", ready=ready)
+
     def _handle_caller(self, request):
         return self._discovery.handle(request) or self._relay.handle(request)
-
-    def _handle_operations(self, request):
-        if request.path == "/metrics":
-            content, headers = self._metrics.render()
-            return Answer(status=200, headers=tuple(headers.items()), body=content)
-        if request.path == "/healthz":
-            return Answer(status=200, body=b"ok\n")
-        if request.path == "/readyz":
-            return Answer(status=200 if self.ready else 503)
-        if request.path == "/status":
-            status = {
-                "name": self._settings.name,
-                "ready": self.ready,
-                "state": self.state.value,
-                "revision": self._tables.revision if self._tables else None,
-            }
-            return Answer(status=200, body=orjson.dumps(status))
-        return Answer(status=404)
--- a/tests/entry/test_lifecycle.py
+++ b/tests/entry/test_lifecycle.py
@@ -8,13 +8,8 @@
 
 from monsoonline.adapters.http_server import HttpServer
 from monsoonline.clock import ManualClock, SystemClock
-from monsoonline.entry.lifecycle import (
-    PAUSE_GAP_MS,
-    EntryState,
-    Lifecycle,
-    PauseDetector,
-    StopTimes,
-)
+from monsoonline.core.contact import PAUSE_GAP_MS, PauseDetector
+from monsoonline.entry.lifecycle import EntryState, Lifecycle, StopTimes
 from monsoonline.errors import Refusal
 from monsoonline.types import Answer, Outcome
 
