--- a/src/monsoonline/core/admission.py
+++ b/src/monsoonline/core/admission.py
@@ -99,6 +99,11 @@
         """Requests that may be in flight."""
         return max(1, int(self._limit))
 
+    @property
+    def slots(self):
+        """Slots of the pool."""
+        return self._slots
+
     def resize(self, slots):
         """Use a new number of slots."""
         self._slots = max(1, slots)
--- a/src/monsoonline/core/balancing.py
+++ b/src/monsoonline/core/balancing.py
@@ -44,6 +44,10 @@
     :param generator: numpy Generator
     """
 
+    # Whether the entry limits its requests in flight by the reported queues. The
+    # plain policies do without, since they cause queues that are no overload.
+    limits_concurrency = False
+
     def __init__(self, *, generator):
         self._uniforms = Uniforms(generator=generator)
 
@@ -146,6 +150,8 @@
 class AdaptivePolicy(Policy):
     """The least expected time among recent reporters and random upstreams."""
 
+    limits_concurrency = True
+
     def choose(self, view, now, excluded):
         """Return the usable state with the least expected time."""
         available = view.available
--- a/src/monsoonline/core/pool_dispatch.py
+++ b/src/monsoonline/core/pool_dispatch.py
@@ -22,6 +22,8 @@
 
 # An upstream that several peers eject is unattractive, but only own failures eject.
 PEERS_TO_DISTRUST = 2
+# Summing costs time per peer and upstream, so it is not done for each message.
+PEER_SUM_MS = 250.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -64,6 +66,7 @@
         self._queues = RouteQueues(generator=generator)
         self._limit = ConcurrencyLimit(slots=sum(u.slots for u in pool.upstreams))
         self._peers = PeerLoads()
+        self._peers_summed_at = float("-inf")
         self._in_flight = 0
 
     @property
@@ -89,6 +92,8 @@
     @property
     def limit(self):
         """Attempts of this entry that may be in flight."""
+        if not self._policy.limits_concurrency:
+            return self._limit.slots
         return self._limit.value
 
     def update(self, pool):
@@ -127,7 +132,8 @@
                 self._refuse(ticket, refusal)
                 return
             self._queues.push(ticket)
-            done = self._pump(now)
+            # The caller sees the state of its own ticket when this returns.
+            done = [item for item in self._pump(now) if item is not ticket]
         self._notify(done)
 
     def expire(self, ticket):
@@ -181,6 +187,9 @@
         now = self._clock.now()
         with self._lock:
             self._peers.observe(owner, reported, payload, now)
+            if now - self._peers_summed_at < PEER_SUM_MS:
+                return
+            self._peers_summed_at = now
             states = self._view.states
             _, ejected = self._peers.totals(revision=revision, size=len(states))
             for state in states:
@@ -205,7 +214,7 @@
         )
 
     def _grant(self, ticket, now):
-        if self._in_flight >= self._limit.value:
+        if self._in_flight >= self.limit:
             return False
         state = self._policy.choose(self._view, now, ticket.excluded)
         if state is None:
@@ -230,7 +239,7 @@
         done = []
         self._view.refresh(now)
         latency_ms = self._view.mean_latency_ms
-        while self._queues.waiting and self._in_flight < self._limit.value:
+        while self._queues.waiting and self._in_flight < self.limit:
             ticket, expired = self._queues.pop(now, latency_ms=latency_ms)
             for late in expired:
                 self._refuse(late, self._late(late))
--- a/src/monsoonline/core/probing.py
+++ b/src/monsoonline/core/probing.py
@@ -88,6 +88,7 @@
         :param left: names of entries that have ended by a planned stop
         """
         self._check_pause(now)
+        before = self._alive
         self._alive = frozenset(alive) | {self._owner}
         for name in self._alive:
             self._known[name] = now
@@ -103,7 +104,9 @@
             return
         if self._quorate_since is None:
             self._quorate_since = now
-        self._assign(now)
+            before = None
+        if before != self._alive:
+            self._assign(now)
 
     def due(self, now):
         """Return the upstreams to probe now; each is counted as probed.
