Place shed requests again and keep a fair floor of the concurrency limit

Cause: at 90 % load the concurrency limit collapsed on the queues of slow targets; lookups were refused in the entries' queues.

Change: a certified refusal by an upstream is placed again under a budget of its own and waits at the entry after two tries. The limit falls only on queues over 4 per slot or on more than 60 % shed attempts, and not below the entry's even share of the slots.

--- a/src/monsoonline/bench/experiment.py
+++ b/src/monsoonline/bench/experiment.py
@@ -378,6 +378,7 @@
             deadline=call.deadline,
             excluded=call.excluded,
             fingerprint=call.fingerprint,
+            attempts=call.tries,
             notify=notify,
         )
 
@@ -399,7 +400,6 @@
         call.attempts.append(attempt)
         call.open += 1
         call.tries += 1
-        call.excluded |= {upstream.address}
         delay = self._delay(call.entry.failure_domain, upstream.failure_domain)
         attempt.job = Job(
             number=call.number,
@@ -413,22 +413,23 @@
         if self._oracle is not None:
             self._oracle.sent(upstream.address, call.number, call.work_ms)
         self._timeline.after(delay, self._submit, upstream, attempt.job)
-        if len(call.attempts) == 1 and call.route.tolerance.hedges:
+        if call.open == 1 and call.route.tolerance.hedges:
             wait = call.entry.dispatcher.hedge_delay_ms(call.route)
             if now + wait < call.deadline:
-                self._timeline.after(wait, self._hedge, call)
+                self._timeline.after(wait, self._hedge, call, attempt)
 
     def _submit(self, upstream, job):
         if self._oracle is not None:
             self._oracle.arrived(upstream.address, job.number)
         upstream.submit(job)
 
-    def _hedge(self, call):
-        if call.done or call.open != 1 or len(call.attempts) != 1:
+    def _hedge(self, call, attempt):
+        if call.done or attempt.ended or call.open != 1:
             return
         if not call.entry.dispatcher.may_hedge(call.route):
             return
         # A hedge that would wait in a queue is worth nothing.
+        call.excluded |= {attempt.upstream.address}
         ticket = self._enqueue(call, lambda: None)
         if ticket.state is TicketState.WAITING:
             call.entry.dispatcher.expire(ticket)
@@ -487,6 +488,8 @@
     def _release(self, call, attempt, kind, *, load=None, draining=False):
         attempt.ended = kind
         call.open -= 1
+        if kind is not AttemptKind.SHED:
+            call.excluded |= {attempt.upstream.address}
         now = self._timeline.now()
         self._results.attempts.append((now, attempt.upstream.address, kind))
         result = AttemptResult(
--- a/src/monsoonline/core/admission.py
+++ b/src/monsoonline/core/admission.py
@@ -18,9 +18,10 @@
 RETRY_AFTER_JITTER = 1.0
 # Reported queue per slot above which the pool counts as overloaded. It leaves some
 # queue at the upstreams, so that no slot stays idle for a network round trip.
-QUEUE_TARGET = 0.5
+QUEUE_TARGET = 4.0
 DECREASE = 0.9
 INCREASE = 1.0
+FLOOR_SHARE = 1.0
 INITIAL_SLOT_SHARE = 1.0
 
 
@@ -40,11 +41,13 @@
     :param deadline: instant in ms of the request's deadline
     :param excluded: addresses not to use
     :param fingerprint: digest of the request, or ``None``
+    :param attempts: attempts made before
     :param notify: called without arguments when the ticket leaves the queue
     """
 
     __slots__ = (
         "assignment",
+        "attempts",
         "deadline",
         "enqueued",
         "excluded",
@@ -56,12 +59,15 @@
         "state",
     )
 
-    def __init__(self, *, route, limit, deadline, excluded, fingerprint, notify):
+    def __init__(
+        self, *, route, limit, deadline, excluded, fingerprint, attempts=0, notify
+    ):
         self.route = route
         self.limit = limit
         self.deadline = deadline
         self.excluded = excluded
         self.fingerprint = fingerprint
+        self.attempts = attempts
         self.notify = notify
         self.state = TicketState.WAITING
         self.assignment = None
@@ -93,17 +99,26 @@
         self._slots = max(1, slots)
         self._limit = self._slots * INITIAL_SLOT_SHARE
         self._decreased_at = -1e18
+        self._floor = 1.0
 
     @property
     def value(self):
         """Requests that may be in flight."""
-        return max(1, int(self._limit))
+        return max(1, round(self._limit))
 
     @property
     def slots(self):
         """Slots of the pool."""
         return self._slots
 
+    def share(self, entries):
+        """Use the number of entries that share the pool.
+
+        The limit does not fall below this entry's even share of the slots: the
+        shares of all entries together fill the pool without a queue.
+        """
+        self._floor = max(1.0, FLOOR_SHARE * self._slots / entries)
+
     def resize(self, slots):
         """Use a new number of slots."""
         self._slots = max(1, slots)
@@ -121,7 +136,7 @@
         if shed or queue_share > QUEUE_TARGET:
             if now - self._decreased_at >= latency_ms:
                 base = min(self._limit, max(1, in_flight))
-                self._limit = max(1.0, base * DECREASE)
+                self._limit = max(self._floor, base * DECREASE)
                 self._decreased_at = now
         elif in_flight >= self._limit - 1.0:
             self._limit = min(self._slots, self._limit + INCREASE / self._limit)
@@ -194,13 +209,19 @@
         base = max(MIN_RETRY_AFTER_MS, wait_ms)
         return base * (1.0 + RETRY_AFTER_JITTER * self._generator.random())
 
-    def push(self, ticket):
-        """Append a ticket to its route's queue."""
+    def push(self, ticket, *, first=False):
+        """Add a ticket to its route's queue.
+
+        :param first: whether it goes to the head, as it has waited before
+        """
         name = ticket.route.name
         queue = self._queues.get(name)
         if queue is None:
             queue = self._queues[name] = collections.deque()
-        queue.append(ticket)
+        if first:
+            queue.appendleft(ticket)
+        else:
+            queue.append(ticket)
         self._waiting += 1
 
     def remove(self, ticket):
--- a/src/monsoonline/core/dispatch.py
+++ b/src/monsoonline/core/dispatch.py
@@ -106,13 +106,16 @@
         for address, source in stale:
             self.set_leaving(address, source=source, leaving=False)
 
-    def acquire(self, route, *, deadline, excluded=frozenset(), fingerprint=None):
+    def acquire(
+        self, route, *, deadline, excluded=frozenset(), fingerprint=None, attempts=None
+    ):
         """Wait for a slot of the route's pool.
 
         :param route: the matched route
         :param deadline: instant in ms after which the answer is of no use
         :param excluded: addresses that earlier attempts used
         :param fingerprint: digest that identifies resends of the same request
+        :param attempts: attempts made before, by default the number of excluded
         :returns: an :class:`Assignment`, to be released exactly once
         :raises Refusal: ``NOT_RUN`` when no slot comes free in time
         """
@@ -122,6 +125,7 @@
             deadline=deadline,
             excluded=excluded,
             fingerprint=fingerprint,
+            attempts=attempts,
             notify=granted.set,
         )
         while ticket.state is TicketState.WAITING:
@@ -135,7 +139,14 @@
         return ticket.assignment
 
     def enqueue(
-        self, route, *, deadline, excluded=frozenset(), fingerprint=None, notify
+        self,
+        route,
+        *,
+        deadline,
+        excluded=frozenset(),
+        fingerprint=None,
+        attempts=None,
+        notify,
     ):
         """Ask for a slot without waiting.
 
@@ -143,6 +154,7 @@
         :param deadline: instant in ms after which the answer is of no use
         :param excluded: addresses that earlier attempts used
         :param fingerprint: digest that identifies resends of the same request
+        :param attempts: attempts made before, by default the number of excluded
         :param notify: called when a waiting ticket is granted or refused
         :returns: a :class:`Ticket`, granted, refused or waiting
         """
@@ -153,6 +165,7 @@
             deadline=deadline,
             excluded=excluded,
             fingerprint=fingerprint,
+            attempts=len(excluded) if attempts is None else attempts,
             notify=notify,
         )
         pool = self._pools.get(route.pool)
@@ -162,7 +175,7 @@
                 f"pool {route.pool!r} is not in the tables", code="no-pool"
             )
             return ticket
-        if not excluded:
+        if not ticket.attempts:
             self._budget(route).first_attempt()
         pool.enqueue(ticket)
         return ticket
--- a/src/monsoonline/core/pool_dispatch.py
+++ b/src/monsoonline/core/pool_dispatch.py
@@ -22,6 +22,11 @@
 
 # An upstream that several peers eject is unattractive, but only own failures eject.
 PEERS_TO_DISTRUST = 2
+# Share of refusals by upstreams above which the pool counts as overloaded.
+SHED_TARGET = 0.6
+SHED_WEIGHT = 0.05
+# Attempts after which a request waits for the next answer at its entry.
+TRIES_AT_ONCE = 2
 # Summing costs time per peer and upstream, so it is not done for each message.
 PEER_SUM_MS = 250.0
 
@@ -67,6 +72,7 @@
         self._limit = ConcurrencyLimit(slots=sum(u.slots for u in pool.upstreams))
         self._peers = PeerLoads()
         self._peers_summed_at = float("-inf")
+        self._shed_share = 0.0
         self._in_flight = 0
 
     @property
@@ -122,6 +128,11 @@
         with self._lock:
             ticket.enqueued = now
             refusal = self._impossible(ticket, now)
+            if refusal is None and ticket.attempts >= TRIES_AT_ONCE and self._in_flight:
+                # The next answer tells of a free slot; until then another try would
+                # be as blind as the last ones.
+                self._queues.push(ticket, first=True)
+                return
             if refusal is None:
                 if not self._queues.waiting and self._grant(ticket, now):
                     return
@@ -151,10 +162,12 @@
         with self._lock:
             state = assignment.state
             self._view.finish(state, result, now)
+            shed = float(result.kind is AttemptKind.SHED)
+            self._shed_share += SHED_WEIGHT * (shed - self._shed_share)
             self._limit.answered(
                 in_flight=self._in_flight,
                 queue_share=self._view.queue_share,
-                shed=result.kind is AttemptKind.SHED,
+                shed=self._shed_share > SHED_TARGET,
                 now=now,
                 latency_ms=self._view.mean_latency_ms,
             )
@@ -190,6 +203,7 @@
             if now - self._peers_summed_at < PEER_SUM_MS:
                 return
             self._peers_summed_at = now
+            self._limit.share(self._peers.count + 1)
             states = self._view.states
             _, ejected = self._peers.totals(revision=revision, size=len(states))
             for state in states:
@@ -228,7 +242,7 @@
             upstream=state.upstream,
             route=ticket.route.name,
             fingerprint=ticket.fingerprint,
-            first=not ticket.excluded,
+            first=not ticket.attempts,
             state=state,
         )
         ticket.state = TicketState.GRANTED
--- a/src/monsoonline/core/retries.py
+++ b/src/monsoonline/core/retries.py
@@ -12,6 +12,11 @@
 
 RETRY_SHARE = 0.1
 HEDGE_SHARE = 0.1
+# A certified refusal costs one round trip and no service time, so it has a budget
+# and a limit of its own.
+PLACEMENT_SHARE = 2.0
+PLACEMENT_RESERVE = 200.0
+MAX_PLACEMENTS = 20
 # Allows a few repeats when a route has little traffic.
 RESERVE = 10.0
 HEDGE_QUANTILE = 0.9
@@ -25,11 +30,13 @@
     """Tokens for repeated attempts.
 
     :param share: tokens earned per first attempt
+    :param reserve: the most tokens kept
     """
 
-    def __init__(self, *, share):
+    def __init__(self, *, share, reserve=RESERVE):
         self._share = share
-        self._tokens = RESERVE
+        self._reserve = reserve
+        self._tokens = reserve
 
     @property
     def tokens(self):
@@ -38,7 +45,7 @@
 
     def earn(self):
         """Count one first attempt."""
-        self._tokens = min(RESERVE, self._tokens + self._share)
+        self._tokens = min(self._reserve, self._tokens + self._share)
 
     def spend(self):
         """Take one token; return whether there was one."""
@@ -82,6 +89,9 @@
         self._lock = threading.Lock()
         self._retries = RepeatBudget(share=RETRY_SHARE)
         self._hedges = RepeatBudget(share=HEDGE_SHARE)
+        self._placements = RepeatBudget(
+            share=PLACEMENT_SHARE, reserve=PLACEMENT_RESERVE
+        )
         self._latency = LatencyQuantile(quantile=HEDGE_QUANTILE)
 
     @property
@@ -97,6 +107,7 @@
         with self._lock:
             self._retries.earn()
             self._hedges.earn()
+            self._placements.earn()
 
     def observe(self, latency_ms):
         """Record the latency of a first attempt, or a lower bound of it."""
@@ -110,6 +121,8 @@
         :param attempts: attempts made so far
         :param result: how the last one ended
         """
+        if result.kind is AttemptKind.SHED:
+            return self._may_place_again(attempts)
         if attempts > route.tolerance.retries:
             return False
         if not route.idempotent and result.kind not in NOT_RUN_KINDS:
@@ -119,6 +132,10 @@
         with self._lock:
             return self._retries.spend()
 
+    def _may_place_again(self, attempts):
+        with self._lock:
+            return attempts <= MAX_PLACEMENTS and self._placements.spend()
+
     def may_hedge(self, route):
         """Tell whether a second simultaneous attempt is allowed, and count it."""
         if not route.idempotent or route.tolerance.hedges < 1:
