--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -11,6 +11,7 @@
 from monsoonline.adapters.http_server import HttpServer
 from monsoonline.adapters.http_upstream import HttpUpstreamTransport
 from monsoonline.clock import SystemClock
+from monsoonline.core.balancing import Policy, policies
 from monsoonline.core.dispatch import Dispatcher
 from monsoonline.core.ledger import Ledger
 from monsoonline.core.model import (
@@ -36,6 +37,18 @@
 TIMEOUT_SECONDS = 5.0
 
 
+@policies.register("first-usable")
+class FirstUsablePolicy(Policy):
+    """The usable upstream that the pool lists first, so that scripts apply."""
+
+    def choose(self, view, now, excluded):
+        usable = [s for s in view.available if self._usable(s, now, excluded)]
+        return min(usable, key=lambda s: ORDER[s.upstream.address], default=None)
+
+
+ORDER = {}
+
+
 class RelayCase(unittest.TestCase):
     """A relay with a lookup and a booking route to scripted upstreams."""
 
@@ -72,7 +85,14 @@
             Upstream(address=server.address, failure_domain="a", slots=3)
             for server in self.servers
         )
-        pool = Pool(name="p", department="d", upstreams=upstreams, refusal_means=means)
+        ORDER.update({u.address: index for index, u in enumerate(upstreams)})
+        pool = Pool(
+            name="p",
+            department="d",
+            upstreams=upstreams,
+            refusal_means=means,
+            policy="first-usable",
+        )
         routes = (
             self.route("lookup", True, hedges),
             self.route("booking", False, hedges),
