Exclude loaded libraries from garbage collection

Cause: a full collection over the imported libraries stops all threads of the entry, which shows at p99.

Change: the entry, the upstream stand-in and the relay benchmark freeze what is loaded after their start and collect rarely.

--- a/src/monsoonline/commands/bench_relay.py
+++ b/src/monsoonline/commands/bench_relay.py
@@ -13,6 +13,7 @@
     local_system,
 )
 from monsoonline.commands.output import print_document
+from monsoonline.entry.interpreter import limit_collection_pauses
 
 __all__ = ["command"]
 
@@ -42,6 +43,7 @@
             service, upstream = stack.enter_context(local_system(service_ms=service_ms))
             entry = service.callers_address
         load = RelayLoad(entry=entry, upstream=upstream, callers=callers, rate=rate)
+        limit_collection_pauses()
         before = ProcessUsage.read(entry_process) if entry_process else None
         failed = load.run(seconds)
         after = ProcessUsage.read(entry_process or os.getpid())
--- a/src/monsoonline/commands/entry.py
+++ b/src/monsoonline/commands/entry.py
@@ -7,6 +7,7 @@
 import click
 
 from monsoonline.commands.output import print_document
+from monsoonline.entry.interpreter import limit_collection_pauses
 from monsoonline.entry.service import EntryService
 from monsoonline.errors import FindingsError
 from monsoonline.logs import configure_logging
@@ -31,6 +32,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
     service.start()
+    limit_collection_pauses()
     print_document(
         {"callers": service.callers_address, "operations": service.operations_address},
         as_json=as_json,
--- a/src/monsoonline/commands/upstream.py
+++ b/src/monsoonline/commands/upstream.py
@@ -4,6 +4,7 @@
 
 from monsoonline.commands.output import print_document
 from monsoonline.commands.standin import wait_for_stop
+from monsoonline.entry.interpreter import limit_collection_pauses
 from monsoonline.standin.upstream import UpstreamStandIn
 
 __all__ = ["command"]
@@ -19,6 +20,7 @@
     """Run a stand-in for an upstream server."""
     upstream = UpstreamStandIn(host=host, port=port, slots=slots, service_ms=service_ms)
     upstream.start()
+    limit_collection_pauses()
     print_document({"address": upstream.address}, as_json=as_json)
     wait_for_stop()
     upstream.close()
