--- a/src/monsoonline/commands/__init__.py
+++ b/src/monsoonline/commands/__init__.py
@@ -15,6 +15,7 @@
     "check": "monsoonline.commands.check",
     "report": "monsoonline.commands.report",
     "verify": "monsoonline.commands.verify",
+    "bench": "monsoonline.commands.bench",
 }
 
 
--- a/src/monsoonline/commands/entry.py
+++ b/src/monsoonline/commands/entry.py
@@ -10,6 +10,7 @@
 import click
 
 from monsoonline.commands.output import print_document
+from monsoonline.entry.interpreter import limit_collection_pauses
 from monsoonline.entry.service import EntryService
 from monsoonline.errors import FindingsError
 from monsoonline.logs import configure_logging
@@ -44,6 +45,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, handle_signal)
     service.start()
+    limit_collection_pauses()
     print_document(
         {"callers": service.callers_address, "operations": service.operations_address},
         as_json=as_json,
