Add a caller library

Cause: callers had to write discovery, keys and resends themselves. Change: monsoonline.caller keeps the list of entries for its lifetime, prefers its own failure domain, resends bookings with the same key to the owner and then to others, honours Retry-After, and makes a new key only after a refusal that fences the old one. After other not-run refusals it goes on with the same key, since a delayed duplicate could still start it. Conclusion: a refusal as not-run after a lost exchange of the same key is reported as unknown, which is stricter than the entry's own statement.

--- /dev/null
+++ b/src/monsoonline/caller.py
@@ -0,0 +1,428 @@
+"""A small caller library on ``http.client``.
+
+It asks entries which addresses to use, keeps the answer for its lifetime, and sends
+lookups and bookings by the protocol of ``docs/callers.md``.
+"""
+
+import dataclasses
+import enum
+import http.client
+import random
+import secrets
+import threading
+
+import orjson
+
+from monsoonline.clock import SystemClock
+from monsoonline.entry.discovery import ENTRIES_PATH, TOKEN_PATH
+from monsoonline.errors import MonsoonlineError
+
+__all__ = ["Caller", "CallResult", "CallStatus", "NoEntry"]
+
+KEY_HEADER = "Monsoonline-Key"
+OUTCOME_HEADER = "Monsoonline-Outcome"
+CONTROL_TIMEOUT_MS = 1000.0
+RESEND_PAUSE_MS = 50.0
+MAX_IDLE_CONNECTIONS = 8
+# After these refusals the key can never start, so a new key cannot cause a second
+# run. After any other not-run refusal a delayed duplicate of the request could still
+# start the old key at its owner; the booking then goes on with the same key.
+FENCED_CODES = frozenset(
+    ("key-of-another-entry", "key-fenced", "entry-stopping", "key-required")
+)
+# A resend may change the outcome of these; other unknown outcomes are recorded.
+PENDING_CODES = frozenset(("key-running", "key-owner-unreachable"))
+# The owner will not start the key soon; another entry can have it fenced.
+ELSEWHERE_CODES = PENDING_CODES | {"entry-paused", "isolated", "records-full"}
+
+
+class NoEntry(MonsoonlineError):
+    """No seed and no known entry answered."""
+
+    default_code = "no-entry"
+
+
+class CallStatus(enum.Enum):
+    """How a call ended."""
+
+    OK = "ok"
+    REFUSED_NOT_RUN = "refused_not_run"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallResult:
+    """Result of a lookup or booking.
+
+    :param call_status: whether there is an answer, or whether the request ran
+    :param status: HTTP status of the answer, 0 when none came
+    :param code: code of the refusal, ``""`` for an answer
+    :param body: body of the answer
+    :param headers: header pairs of the answer
+    :param keys: all keys under which a booking was sent, the last one counts
+    :param attempts: exchanges made
+    """
+
+    call_status: CallStatus
+    status: int = 0
+    code: str = ""
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+    keys: tuple[str, ...] = ()
+    attempts: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """One complete HTTP response."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def header(self, name, default=None):
+        """Return the first value of a header."""
+        for key, value in self.headers:
+            if key.lower() == name.lower():
+                return value
+        return default
+
+    @property
+    def code(self):
+        """Code of a refusal, ``""`` for other answers."""
+        if self.header(OUTCOME_HEADER) is None:
+            return ""
+        try:
+            return orjson.loads(self.body).get("code", "")
+        except (orjson.JSONDecodeError, AttributeError):
+            return ""
+
+    @property
+    def retry_after_ms(self):
+        """Milliseconds of ``Retry-After``, 0 without one."""
+        text = self.header("Retry-After", "")
+        return float(text) * 1e3 if text.isdigit() else 0.0
+
+
+class ExchangeLost(Exception):
+    """No complete response came.
+
+    :param sent: whether the entry may have received the request
+    """
+
+    def __init__(self, message, *, sent):
+        super().__init__(message)
+        self._sent = sent
+
+    @property
+    def sent(self):
+        """Whether the entry may have received the request."""
+        return self._sent
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Progress:
+    """State of one booking between its attempts.
+
+    :param key: the key in use
+    :param owner: address of the entry that may start the key
+    :param keys: all keys so far
+    :param attempts: exchanges so far
+    :param lost: whether an exchange of this key was lost after it was sent
+    :param last: the last response with this key
+    """
+
+    key: str
+    owner: str
+    keys: list[str]
+    attempts: int = 0
+    lost: bool = False
+    last: Reply | None = None
+
+    @property
+    def sent(self):
+        """Whether any entry may have received the key."""
+        return self.lost or self.last is not None
+
+
+class Caller:
+    """Sends requests through the entries.
+
+    :param seeds: ``host:port`` of some entries
+    :param failure_domain: of the caller; entries there are preferred
+    :param clock: source of time
+    :param timeout_ms: time limit of a whole call with its resends
+    :param attempt_timeout_ms: time limit of one exchange
+    :param seed: seed of the choice among entries
+    """
+
+    def __init__(
+        self,
+        *,
+        seeds,
+        failure_domain="",
+        clock=None,
+        timeout_ms=5000.0,
+        attempt_timeout_ms=1500.0,
+        seed=None,
+    ):
+        self._seeds = tuple(seeds)
+        self._failure_domain = failure_domain
+        self._clock = clock or SystemClock()
+        self._timeout_ms = timeout_ms
+        self._attempt_timeout_ms = attempt_timeout_ms
+        self._random = random.Random(seed)
+        self._entries = ()
+        self._expires = float("-inf")
+        self._idle = {}
+        self._lock = threading.Lock()
+
+    def close(self):
+        """Close the kept connections."""
+        with self._lock:
+            idle, self._idle = self._idle, {}
+        for connections in idle.values():
+            for connection in connections:
+                connection.close()
+
+    def entries(self):
+        """Return the addresses to use now, the preferred ones first.
+
+        :raises NoEntry: when no entry answers and no earlier answer exists
+        """
+        if self._clock.now() >= self._expires:
+            self._discover()
+        with self._lock:
+            entries = list(self._entries)
+            self._random.shuffle(entries)
+        entries.sort(key=lambda entry: entry[1] != self._failure_domain)
+        return [address for address, _ in entries]
+
+    def lookup(self, method, target, *, headers=(), body=b""):
+        """Send an idempotent request; other entries are tried on failure.
+
+        :returns: :class:`CallResult`
+        """
+        deadline = self._clock.now() + self._timeout_ms
+        reply = None
+        attempts = 0
+        sent = False
+        while self._clock.now() < deadline:
+            for address in self.entries():
+                if self._clock.now() >= deadline:
+                    break
+                attempts += 1
+                try:
+                    reply = self._exchange(
+                        address, method, target, headers, body, deadline
+                    )
+                except ExchangeLost as error:
+                    sent = sent or error.sent
+                    continue
+                if reply.header(OUTCOME_HEADER) is None or reply.status < 500:
+                    return result_of(reply, attempts=attempts)
+            self._pause(reply, deadline)
+        if reply is not None:
+            return result_of(reply, attempts=attempts)
+        status = CallStatus.UNKNOWN if sent else CallStatus.REFUSED_NOT_RUN
+        return CallResult(call_status=status, code="no-answer", attempts=attempts)
+
+    def book(self, method, target, *, headers=(), body=b""):
+        """Send a request that must run at most once.
+
+        Resends carry the same key, to the same entry first, then to others. A new
+        key is made only when the old one can never start.
+
+        :returns: :class:`CallResult`
+        """
+        deadline = self._clock.now() + self._timeout_ms
+        progress = self._mint(deadline)
+        while self._clock.now() < deadline:
+            for address in self._booking_order(progress):
+                if self._clock.now() >= deadline:
+                    break
+                pairs = (*headers, (KEY_HEADER, progress.key))
+                progress.attempts += 1
+                try:
+                    reply = self._exchange(
+                        address, method, target, pairs, body, deadline
+                    )
+                except ExchangeLost as error:
+                    progress.lost = progress.lost or error.sent
+                    continue
+                progress.last = reply
+                if self._is_final(reply):
+                    return booking_result(progress)
+                if reply.code in FENCED_CODES:
+                    progress = self._mint(deadline, progress)
+                    break
+                if reply.code not in ELSEWHERE_CODES:
+                    break
+            else:
+                if not progress.sent:
+                    # No entry can have received the key, so a new one is safe; the
+                    # old one's owner may be gone.
+                    progress = self._mint(deadline, progress)
+            self._pause(progress.last, deadline)
+        return booking_result(progress)
+
+    @staticmethod
+    def _is_final(reply):
+        outcome = reply.header(OUTCOME_HEADER)
+        if outcome is None:
+            return True
+        if outcome == "unknown":
+            return reply.code not in PENDING_CODES
+        # Other refusals below 500 are faults of the request itself.
+        return reply.status < 500 and reply.code not in FENCED_CODES
+
+    def _booking_order(self, progress):
+        others = [a for a in self.entries() if a != progress.owner]
+        return [progress.owner, *others]
+
+    def _mint(self, deadline, progress=None):
+        """Make a key from the token of a preferred entry.
+
+        :param progress: the booking so far, ``None`` for a new one
+        :raises NoEntry: when no entry gives a token
+        """
+        while True:
+            for address in self.entries():
+                try:
+                    reply = self._exchange(address, "GET", TOKEN_PATH, (), b"", None)
+                    token = orjson.loads(reply.body)["token"]
+                except (ExchangeLost, orjson.JSONDecodeError, KeyError):
+                    continue
+                key = f"{token}.{secrets.token_hex(8)}"
+                return Progress(
+                    key=key,
+                    owner=address,
+                    keys=[*(progress.keys if progress else ()), key],
+                    attempts=progress.attempts if progress else 0,
+                )
+            self._expires = float("-inf")
+            if self._clock.now() >= deadline:
+                raise NoEntry("no entry gave a token")
+            self._clock.sleep(RESEND_PAUSE_MS)
+
+    def _pause(self, reply, deadline):
+        """Wait before the next round, at least as long as ``Retry-After`` asks."""
+        wanted = max(RESEND_PAUSE_MS, reply.retry_after_ms if reply else 0.0)
+        self._clock.sleep(max(0.0, min(wanted, deadline - self._clock.now())))
+
+    def _discover(self):
+        known = [address for address, _ in self._entries]
+        for address in dict.fromkeys((*known, *self._seeds)):
+            asked = self._clock.now()
+            try:
+                reply = self._exchange(address, "GET", ENTRIES_PATH, (), b"", None)
+                document = orjson.loads(reply.body)
+                entries = tuple(
+                    (entry["address"], entry["failure_domain"])
+                    for entry in document["entries"]
+                )
+                lifetime_ms = float(document["lifetime_ms"])
+            except (ExchangeLost, orjson.JSONDecodeError, KeyError, TypeError):
+                continue
+            if entries:
+                # The lifetime counts from the question, because the entry counts it
+                # from its answer, which is later.
+                self._keep(entries, asked + lifetime_ms)
+                return
+        if not self._entries:
+            raise NoEntry(f"none of the seeds answered: {', '.join(self._seeds)}")
+
+    def _keep(self, entries, expires):
+        with self._lock:
+            self._entries = entries
+            self._expires = expires
+            used = {address for address, _ in entries}
+            unused = [self._idle.pop(a) for a in list(self._idle) if a not in used]
+        for connections in unused:
+            for connection in connections:
+                connection.close()
+
+    def _exchange(self, address, method, target, headers, body, deadline):
+        limit_ms = CONTROL_TIMEOUT_MS
+        if deadline is not None:
+            remaining_ms = deadline - self._clock.now()
+            limit_ms = max(1.0, min(self._attempt_timeout_ms, remaining_ms))
+        connection = self._checkout(address)
+        sent = False
+        try:
+            connection.timeout = limit_ms / 1e3
+            if connection.sock is None:
+                connection.connect()
+            connection.sock.settimeout(limit_ms / 1e3)
+            sent = True
+            # A resend by the library on a new connection would hide the first send.
+            connection.auto_open = 0
+            connection.request(method, target, body=body or None, headers=dict(headers))
+            response = connection.getresponse()
+            content = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            connection.close()
+            raise ExchangeLost(f"{address}: {error!r}", sent=sent) from error
+        if response.will_close:
+            connection.close()
+        else:
+            self._check_in(address, connection)
+        return Reply(
+            status=response.status, headers=tuple(response.getheaders()), body=content
+        )
+
+    def _checkout(self, address):
+        with self._lock:
+            idle = self._idle.get(address)
+            if idle:
+                return idle.pop()
+        host, _, port = address.rpartition(":")
+        return http.client.HTTPConnection(host, int(port))
+
+    def _check_in(self, address, connection):
+        with self._lock:
+            idle = self._idle.setdefault(address, [])
+            if len(idle) < MAX_IDLE_CONNECTIONS:
+                idle.append(connection)
+                return
+        connection.close()
+
+
+def result_of(reply, *, attempts, keys=()):
+    """Return the :class:`CallResult` of a response."""
+    outcome = reply.header(OUTCOME_HEADER)
+    call_status = {
+        None: CallStatus.OK,
+        "not-run": CallStatus.REFUSED_NOT_RUN,
+    }.get(outcome, CallStatus.UNKNOWN)
+    return CallResult(
+        call_status=call_status,
+        status=reply.status,
+        code=reply.code,
+        body=reply.body,
+        headers=reply.headers,
+        keys=tuple(keys),
+        attempts=attempts,
+    )
+
+
+def booking_result(progress):
+    """Return the :class:`CallResult` of a booking.
+
+    A not-run refusal does not settle a key of which an exchange was lost, since a
+    delayed copy of that exchange may still start it.
+    """
+    if progress.last is not None:
+        result = result_of(
+            progress.last, attempts=progress.attempts, keys=progress.keys
+        )
+        if progress.lost and result.call_status is CallStatus.REFUSED_NOT_RUN:
+            return dataclasses.replace(result, call_status=CallStatus.UNKNOWN)
+        return result
+    status = CallStatus.UNKNOWN if progress.lost else CallStatus.REFUSED_NOT_RUN
+    return CallResult(
+        call_status=status,
+        code="no-answer",
+        keys=tuple(progress.keys),
+        attempts=progress.attempts,
+    )
--- /dev/null
+++ b/tests/test_caller.py
@@ -0,0 +1,161 @@
+"""Tests of the caller library against scripted entries."""
+
+import threading
+import time
+import unittest
+
+import orjson
+
+from monsoonline.adapters.http_server import HttpServer
+from monsoonline.caller import Caller, CallStatus, NoEntry
+from monsoonline.clock import ManualClock
+from monsoonline.types import Answer
+
+
+def refusal(status, outcome, code, **headers):
+    pairs = (("Monsoonline-Outcome", outcome), *headers.items())
+    return Answer(status=status, headers=pairs, body=orjson.dumps({"code": code}))
+
+
+class ScriptedEntry:
+    """An entry that gives prepared answers and keeps what it received."""
+
+    def __init__(self, name, *, domain="east"):
+        self.token = f"{name * 16}-0"
+        self.domain = domain
+        self.known = [self]
+        self.script = []
+        self.received = []
+        self.discoveries = 0
+        self.server = HttpServer(
+            handler=self.handle, host="127.0.0.1", port=0, workers=4
+        )
+        self.server.start()
+
+    @property
+    def address(self):
+        return self.server.address
+
+    def handle(self, request):
+        if request.path.endswith("/entries"):
+            self.discoveries += 1
+            entries = [
+                {"address": e.address, "failure_domain": e.domain} for e in self.known
+            ]
+            document = {"entries": entries, "lifetime_ms": 1000.0}
+            return Answer(status=200, body=orjson.dumps(document))
+        if request.path.endswith("/token"):
+            return Answer(status=200, body=orjson.dumps({"token": self.token}))
+        self.received.append(request.header("Monsoonline-Key"))
+        answer = self.script.pop(0) if self.script else Answer(status=200, body=b"ok")
+        if callable(answer):
+            answer = answer()
+        return answer
+
+
+class TestCaller(unittest.TestCase):
+    """Two entries in two failure domains."""
+
+    def setUp(self):
+        self.first = ScriptedEntry("a")
+        self.second = ScriptedEntry("b", domain="west")
+        for entry in (self.first, self.second):
+            entry.known = [self.first, self.second]
+            self.addCleanup(entry.server.close)
+        self.caller = self.make_caller()
+
+    def make_caller(self, **options):
+        options = {"timeout_ms": 400.0, "attempt_timeout_ms": 100.0} | options
+        caller = Caller(
+            seeds=[self.first.address], failure_domain="east", seed=1, **options
+        )
+        self.addCleanup(caller.close)
+        return caller
+
+    def book(self):
+        return self.caller.book("POST", "/surveys", body=b"{}")
+
+    @property
+    def received(self):
+        return self.first.received, self.second.received
+
+    def test_keeps_the_entries_for_their_lifetime_and_prefers_its_domain(self):
+        clock = ManualClock()
+        caller = self.make_caller(clock=clock)
+        for _ in range(5):
+            self.assertEqual(caller.entries()[0], self.first.address)
+        self.assertEqual(self.first.discoveries, 1)
+        clock.advance(1001)
+        caller.entries()
+        self.assertEqual(self.first.discoveries, 2)
+
+    def test_lookup_goes_on_with_another_entry(self):
+        self.first.script = [refusal(502, "unknown", "connection-lost")]
+        result = self.caller.lookup("GET", "/quotes")
+        self.assertEqual((result.call_status, result.body), (CallStatus.OK, b"ok"))
+        self.assertEqual(self.received, ([None], [None]))
+
+    def test_lost_answer_is_resent_with_the_same_key_to_others(self):
+        release = threading.Event()
+        self.addCleanup(release.set)
+        self.first.script = [lambda: release.wait(2) and Answer(status=200)]
+        result = self.book()
+        self.assertIs(result.call_status, CallStatus.OK)
+        self.assertEqual(self.received, ([result.keys[0]], [result.keys[0]]))
+
+    def test_new_key_only_after_the_old_one_is_fenced(self):
+        self.first.script = [
+            refusal(503, "not-run", "no-slot"),
+            refusal(503, "not-run", "entry-stopping"),
+        ]
+        result = self.book()
+        old, new = result.keys
+        self.assertEqual(self.first.received, [old, old, new])
+        self.assertIs(result.call_status, CallStatus.OK)
+
+    def test_paused_owner_is_fenced_through_another_entry(self):
+        """Waiting for the owner would use up the deadline."""
+        self.first.script = [refusal(503, "not-run", "entry-paused")]
+        self.second.script = [refusal(409, "not-run", "key-of-another-entry")]
+        result = self.book()
+        old, new = result.keys
+        self.assertEqual(self.received, ([old, new], [old]))
+        self.assertIs(result.call_status, CallStatus.OK)
+
+    def test_unknown_outcome_is_final_and_makes_no_new_key(self):
+        self.first.script = [refusal(504, "unknown", "timed-out")]
+        result = self.book()
+        self.assertIs(result.call_status, CallStatus.UNKNOWN)
+        self.assertEqual(self.received, (list(result.keys), []))
+
+    def test_not_run_after_a_lost_exchange_stays_unknown(self):
+        """A delayed copy of the lost exchange may still start the key."""
+        release = threading.Event()
+        self.addCleanup(release.set)
+        self.first.script = [lambda: release.wait(2) and Answer(status=200)]
+        no_slot = refusal(503, "not-run", "no-slot")
+        self.first.script += [no_slot] * 20
+        self.second.script = [no_slot] * 20
+        result = self.book()
+        self.assertIs(result.call_status, CallStatus.UNKNOWN)
+        self.assertEqual(len(result.keys), 1)
+
+    def test_retry_after_is_honoured(self):
+        times = []
+
+        def busy():
+            times.append(time.monotonic())
+            return refusal(503, "not-run", "no-slot", **{"Retry-After": "1"})
+
+        self.first.script = [
+            busy,
+            lambda: times.append(time.monotonic()) or Answer(status=200),
+        ]
+        self.caller = self.make_caller(timeout_ms=3000.0)
+        self.assertIs(self.book().call_status, CallStatus.OK)
+        self.assertGreaterEqual(times[1] - times[0], 1.0)
+
+    def test_missing_seeds_are_named(self):
+        caller = Caller(seeds=["127.0.0.1:1"])
+        with self.assertRaisesRegex(NoEntry, "127.0.0.1:1"):
+            caller.entries()
