Give the upstream stand-in its faults and a complete record

Cause: the stand-in served every request in a fixed time and kept only keys, so failures of upstreams could not be brought about or accounted for. Conclusion: tests and the demonstration can count runs at the upstream itself.

--- a/src/monsoonline/commands/upstream.py
+++ b/src/monsoonline/commands/upstream.py
@@ -4,7 +4,7 @@
 
 from monsoonline.commands.output import print_document
 from monsoonline.commands.standin import wait_for_stop
-from monsoonline.standin.upstream import UpstreamStandIn
+from monsoonline.standin.upstream import UpstreamFaults, UpstreamStandIn
 
 __all__ = ["command"]
 
@@ -14,10 +14,21 @@
 @click.option("--port", default=0, show_default=True, help="0 takes any free port.")
 @click.option("--slots", default=3, show_default=True, help="Requests served at once.")
 @click.option("--service-ms", default=1.0, show_default=True, help="Time per request.")
+@click.option("--service-sigma", default=0.0, help="Spread of the service time.")
+@click.option("--queue-limit", default=1024, show_default=True, help="Then it sheds.")
+@click.option("--cold-start-ms", default=0.0, help="Slower for this time.")
+@click.option("--seed", default=0, show_default=True, help="Of the service times.")
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON line at start.")
-def command(host, port, slots, service_ms, as_json):
-    """Run a stand-in for an upstream server."""
-    upstream = UpstreamStandIn(host=host, port=port, slots=slots, service_ms=service_ms)
+def command(host, port, slots, seed, as_json, **faults):
+    """Run a stand-in for an upstream server.
+
+    Its behaviour is switched with POST /.standin/faults (a JSON object),
+    /.standin/silence, /.standin/cut and /.standin/crash; GET /.standin/records
+    returns what it ran and GET /.standin/health its health.
+    """
+    upstream = UpstreamStandIn(
+        host=host, port=port, slots=slots, seed=seed, faults=UpstreamFaults(**faults)
+    )
     upstream.start()
     print_document({"address": upstream.address}, as_json=as_json)
     wait_for_stop()
