--- a/src/monsoonline/caller.py
+++ b/src/monsoonline/caller.py
@@ -150,6 +150,8 @@
 
     :param seeds: ``host:port`` of some entries
     :param failure_domain: of the caller; entries there are preferred
+    :param host: ``Host`` header of all requests; it must not depend on the entry,
+        because entries compare it when a booking is resent
     :param clock: source of time
     :param timeout_ms: time limit of a whole call with its resends
     :param attempt_timeout_ms: time limit of one exchange
@@ -161,6 +163,7 @@
         *,
         seeds,
         failure_domain="",
+        host="monsoonline",
         clock=None,
         timeout_ms=5000.0,
         attempt_timeout_ms=1500.0,
@@ -168,6 +171,7 @@
     ):
         self._seeds = tuple(seeds)
         self._failure_domain = failure_domain
+        self._host = host
         self._clock = clock or SystemClock()
         self._timeout_ms = timeout_ms
         self._attempt_timeout_ms = attempt_timeout_ms
@@ -266,6 +270,24 @@
             self._pause(progress.last, deadline)
         return booking_result(progress)
 
+    def resend(self, address, key, method, target, *, headers=(), body=b""):
+        """Send a booking's key once more through one entry, to learn its outcome.
+
+        :param address: ``host:port`` of the entry
+        :param key: the key that the booking was sent with
+        :returns: :class:`CallResult`
+        """
+        progress = Progress(key=key, owner=address, keys=[key], attempts=1)
+        deadline = self._clock.now() + self._timeout_ms
+        pairs = (*headers, (KEY_HEADER, key))
+        try:
+            progress.last = self._exchange(
+                address, method, target, pairs, body, deadline
+            )
+        except ExchangeLost as error:
+            progress.lost = error.sent
+        return booking_result(progress)
+
     @staticmethod
     def _is_final(reply):
         outcome = reply.header(OUTCOME_HEADER)
@@ -357,7 +379,8 @@
             sent = True
             # A resend by the library on a new connection would hide the first send.
             connection.auto_open = 0
-            connection.request(method, target, body=body or None, headers=dict(headers))
+            pairs = {"Host": self._host, **dict(headers)}
+            connection.request(method, target, body=body or None, headers=pairs)
             response = connection.getresponse()
             content = response.read()
         except (OSError, http.client.HTTPException) as error:
--- a/src/monsoonline/commands/__init__.py
+++ b/src/monsoonline/commands/__init__.py
@@ -12,6 +12,7 @@
     "entry": "monsoonline.commands.entry",
     "standin": "monsoonline.commands.standin",
     "upstream": "monsoonline.commands.upstream",
+    "demo": "monsoonline.commands.demo",
     "check": "monsoonline.commands.check",
 }
 
--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -124,6 +124,11 @@
         """The :class:`monsoonline.entry.lifecycle.EntryState`."""
         return self._lifecycle.state
 
+    @property
+    def requests_in_flight(self):
+        """Requests not yet answered completely."""
+        return self._callers.requests_in_flight
+
     def members(self):
         """Return the members that this entry knows."""
         if self._peers is None:
@@ -217,6 +222,7 @@
                 "name": self._settings.name,
                 "ready": self.ready,
                 "state": self.state.value,
+                "requests_in_flight": self.requests_in_flight,
                 "revision": self._tables.revision if self._tables else None,
             }
             return Answer(status=200, body=orjson.dumps(status))
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -26,6 +26,7 @@
         self.known = [self]
         self.script = []
         self.received = []
+        self.hosts = set()
         self.discoveries = 0
         self.server = HttpServer(
             handler=self.handle, host="127.0.0.1", port=0, workers=4
@@ -47,6 +48,7 @@
         if request.path.endswith("/token"):
             return Answer(status=200, body=orjson.dumps({"token": self.token}))
         self.received.append(request.header("Monsoonline-Key"))
+        self.hosts.add(request.host)
         answer = self.script.pop(0) if self.script else Answer(status=200, body=b"ok")
         if callable(answer):
             answer = answer()
@@ -102,6 +104,8 @@
         result = self.book()
         self.assertIs(result.call_status, CallStatus.OK)
         self.assertEqual(self.received, ([result.keys[0]], [result.keys[0]]))
+        # A host that depends on the entry would make the resend another request.
+        self.assertEqual(self.first.hosts, self.second.hosts)
 
     def test_new_key_only_after_the_old_one_is_fenced(self):
         self.first.script = [
