--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -118,6 +118,11 @@
         """The :class:`monsoonline.entry.lifecycle.EntryState`."""
         return self._lifecycle.state
 
+    @property
+    def requests_in_flight(self):
+        """Requests not yet answered completely."""
+        return self._callers.requests_in_flight
+
     def members(self):
         """Return the members that this entry knows."""
         if self._peers is None:
@@ -198,6 +203,7 @@
             "isolated": self._configuration.isolated,
             "revision": self._configuration.revision,
             "table_age_ms": round(self._configuration.age_ms),
+            "requests_in_flight": self.requests_in_flight,
         }
 
     def _own_member(self):
