Serve the administration API and its commands

Cause: operators had no way to edit routes and pools, and check knew settings files only. The tests fail without the reference rules, without the version condition, without the look-up of an earlier result, and when a refusal after a lost response counts as certain. Conclusion: a racing operator gets a conflict and never a silent overwrite.

--- a/src/monsoonline/adapters/table_store.py
+++ b/src/monsoonline/adapters/table_store.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import threading
+import urllib.parse
 
 import orjson
 
@@ -83,12 +84,12 @@
 
     def read_history(self, table, name):
         """Return the changes of one row, in order."""
-        document = self._read(f"/changes?table={table}&key={name}")
+        document = self._read(f"/changes?table={table}&key={quoted(name)}")
         return tuple(change_of(record) for record in document["changes"])
 
     def find_change(self, change_id):
         """Return the committed change with this id, or ``None``."""
-        record = self._read(f"/changes/{change_id}")["change"]
+        record = self._read(f"/changes/{quoted(change_id)}")["change"]
         return change_of(record) if record else None
 
     def commit(self, change):
@@ -194,7 +195,7 @@
         raise StoreUnavailable(f"the table service refused the change with {status}")
 
     def _read_row(self, table, name, *, floor):
-        document = self._read(f"/rows/{table}/{name}", floor=floor)
+        document = self._read(f"/rows/{table}/{quoted(name)}", floor=floor)
         return row_of(document["row"]) if document["row"] else None
 
     def _read(self, target, *, floor=0):
@@ -228,6 +229,11 @@
     return isinstance(condition, VersionCondition) and condition.version > 0
 
 
+def quoted(text):
+    """Return text as one segment of a path."""
+    return urllib.parse.quote(text, safe="")
+
+
 def row_of(document):
     """Return the :class:`Row` of a row of the table service."""
     return Row(
--- a/src/monsoonline/commands/__init__.py
+++ b/src/monsoonline/commands/__init__.py
@@ -12,6 +12,8 @@
     "entry": "monsoonline.commands.entry",
     "standin": "monsoonline.commands.standin",
     "upstream": "monsoonline.commands.upstream",
+    "routes": "monsoonline.commands.routes",
+    "pools": "monsoonline.commands.pools",
     "check": "monsoonline.commands.check",
 }
 
--- a/src/monsoonline/core/documents.py
+++ b/src/monsoonline/core/documents.py
@@ -20,8 +20,10 @@
     "DOCUMENTS",
     "PoolDocument",
     "RouteDocument",
-    "row_findings",
+    "format_path",
     "parse_row",
+    "reference_findings",
+    "row_findings",
     "tables_findings",
 ]
 
@@ -174,6 +176,10 @@
     :param place: file or request named in the findings
     :returns: list of :class:`monsoonline.errors.Finding`, empty when valid
     """
+    if not isinstance(document, dict):
+        path = format_path((table, name))
+        expected = "an object with the fields of a row"
+        return [Finding(place=place, path=path, value=document, expected=expected)]
     findings = []
     if not re.match(NAME_PATTERN, name):
         expected = f"a name that matches {NAME_PATTERN}"
--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -13,6 +13,7 @@
 from monsoonline.core.dispatch import Dispatcher
 from monsoonline.core.ledger import Ledger
 from monsoonline.core.routing import RouteTable
+from monsoonline.entry.administration import Administration, resolve_tokens
 from monsoonline.entry.discovery import Discovery
 from monsoonline.entry.relay import Relay
 from monsoonline.metrics import Metrics
@@ -65,6 +66,13 @@
             lifetime_ms=settings.discovery_lifetime_ms,
         )
         self._configuration.subscribe(self._use_tables)
+        self._administration = Administration(
+            configuration=self._configuration,
+            store=self._store,
+            tokens=resolve_tokens(settings.tokens),
+            clock=self._clock,
+            metrics=self._metrics,
+        )
         self._callers = HttpServer(
             handler=self._handle_caller,
             host=settings.callers.host,
@@ -139,4 +147,4 @@
                 "revision": self._configuration.revision,
             }
             return Answer(status=200, body=orjson.dumps(status))
-        return Answer(status=404)
+        return self._administration.handle(request) or Answer(status=404)
--- a/src/monsoonline/settings.py
+++ b/src/monsoonline/settings.py
@@ -5,8 +5,11 @@
 import orjson
 import pydantic
 
+from monsoonline.core.documents import format_path
 from monsoonline.errors import Finding, FindingsError
 
+SECRET_FIELDS = frozenset(("tokens", "peer_keys"))
+
 __all__ = [
     "EntrySettings",
     "Listener",
@@ -74,14 +77,26 @@
     return tuple(
         Finding(
             place=place,
-            path=".".join(str(part) for part in item["loc"]) or ".",
-            value=item["input"],
+            path=format_path(item["loc"]),
+            value=shown_input(item),
             expected=item["msg"],
         )
         for item in error.errors(include_url=False)
     )
 
 
+def shown_input(item):
+    """Return the value of a pydantic error that may be printed.
+
+    The input of a missing field is the object around it, which may hold secrets.
+    """
+    if item["type"] == "missing":
+        return None
+    if item["loc"] and item["loc"][0] in SECRET_FIELDS:
+        return "(hidden)"
+    return item["input"]
+
+
 def parse_document(model, content, *, place):
     """Parse and validate a JSON document.
 
--- a/tests/adapters/test_table_store.py
+++ b/tests/adapters/test_table_store.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest import mock
 
-from monsoonline.adapters.platform import PlatformClient, PlatformLimits
+from monsoonline.adapters.platform import PlatformClient, PlatformLimits, ResponseLost
 from monsoonline.clock import SystemClock
 from monsoonline.errors import (
     CommitUnknown,
@@ -128,6 +128,38 @@
         with mock.patch.object(self.store, "_read_row", read_then_lose_the_pool):
             self.refused(edit("routes", "lookup", route_document()), "missing-pool")
 
+    def test_row_changed_between_read_and_commit_is_a_conflict(self):
+        """Guards against a version compared only before the transaction."""
+        other = table_store(self.platform)
+        read_row = self.store._read_row
+
+        def read_then_lose_the_race(*arguments, **options):
+            row = read_row(*arguments, **options)
+            other.commit(edit("pools", "quotes", pool_document(slots=7), expected=1))
+            return row
+
+        change = edit("pools", "quotes", pool_document(slots=8), expected=1)
+        with mock.patch.object(self.store, "_read_row", read_then_lose_the_race):
+            self.assertRaises(EditConflict, self.store.commit, change)
+
+    def test_late_first_attempt_makes_a_refusal_uncertain(self):
+        """Guards against "refused" for an edit that may still arrive and apply."""
+        send = self.store._client.send_once
+        attempts = []
+
+        def delay_first(*arguments):
+            attempts.append(arguments)
+            if len(attempts) == 1:
+                raise ResponseLost("still on its way")
+            return send(*arguments)
+
+        change = edit("routes", "lookup", route_document(pool="later"))
+        with mock.patch.object(self.store._client, "send_once", delay_first):
+            self.assertRaises(CommitUnknown, self.store.commit, change)
+        self.store.commit(edit("pools", "later", pool_document()))
+        send(*attempts[0])
+        self.assertEqual(self.store.commit(change).revision, 3)
+
 
 class TestPlatformLimits(unittest.TestCase):
     """The store's limits for 22 entries."""
