--- a/src/monsoonline/commands/entry.py
+++ b/src/monsoonline/commands/entry.py
@@ -22,11 +22,11 @@
     """Run one entry with the settings in SETTINGS_FILE until SIGTERM."""
     try:
         settings = load_settings(settings_file)
+        configure_logging(settings.log_level)
+        service = EntryService(settings=settings)
     except FindingsError as error:
         click.echo(str(error), err=True)
         sys.exit(2)
-    configure_logging(settings.log_level)
-    service = EntryService(settings=settings)
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
--- a/src/monsoonline/standin/platform.py
+++ b/src/monsoonline/standin/platform.py
@@ -87,6 +87,7 @@
             "name": name,
             "department": document["department"],
             "expected_version": None,
+            "wall_ms": self._clock.wall(),
         }
         transaction = {"id": fixture, "note": note, "conditions": [], "writes": [write]}
         self._tables.commit(transaction)
