Give each platform service its own breaker and act on heard revisions

Cause: an outage of the object store alone could open the one breaker and stop reads of the tables; a revision heard from a peer waited for the next poll; a response that is no JSON ended a poll or a commit with an untyped error. Change: one breaker per service; hear_revision polls at once, at most every 100 ms; responses that are no JSON count as unavailable, and as lost after a transaction; a poll without progress ends instead of repeating. Conclusion: services fail independently.

--- a/src/monsoonline/adapters/platform.py
+++ b/src/monsoonline/adapters/platform.py
@@ -19,6 +19,7 @@
 
 ATTEMPTS = 3
 BACKOFF_MS = 50.0
+SERVICES = ("tables", "objects", "machines")
 
 
 class PlatformLimits:
@@ -65,7 +66,11 @@
         self._timeout_ms = timeout_ms
         self._metrics = metrics or Metrics()
         self._generator = generator or numpy.random.default_rng()
-        self._breaker = CircuitBreaker(clock=self._clock, generator=self._generator)
+        # One breaker per service: an outage of one must not stop the others.
+        self._breakers = {
+            service: CircuitBreaker(clock=self._clock, generator=self._generator)
+            for service in SERVICES
+        }
         self._retries = RetryBudget()
         self._reads = RateBudget(
             clock=self._clock,
@@ -79,9 +84,9 @@
         )
 
     @property
-    def breaker(self):
-        """The :class:`CircuitBreaker`."""
-        return self._breaker
+    def breakers(self):
+        """The :class:`CircuitBreaker` of each service, by its name in the URL."""
+        return self._breakers
 
     @property
     def metrics(self):
@@ -112,7 +117,10 @@
         status, body = self._get_once(target)
         if status != 200:
             raise StoreUnavailable(f"GET {target} returned {status}")
-        return orjson.loads(body)
+        try:
+            return orjson.loads(body)
+        except orjson.JSONDecodeError as error:
+            raise StoreUnavailable(f"GET {target} returned no JSON") from error
 
     def with_retries(self, attempt):
         """Call ``attempt`` until it succeeds or the attempts are used up.
@@ -149,18 +157,21 @@
         :raises StoreUnavailable: the write certainly had no effect
         :raises ResponseLost: the write may have taken effect
         """
-        self._take(self._writes, "writes")
+        self._take(self._writes, "writes", target)
         return self._exchange(method, target, body)
 
     def _get_once(self, target):
-        self._take(self._reads, "reads")
+        self._take(self._reads, "reads", target)
         try:
             return self._exchange("GET", target, None)
         except ResponseLost as error:
             raise StoreUnavailable(str(error)) from error
 
-    def _take(self, budget, kind):
-        self._breaker.admit()
+    def _breaker(self, target):
+        return self._breakers[target.split("/", 3)[2]]
+
+    def _take(self, budget, kind, target):
+        self._breaker(target).admit()
         if not budget.take(wait_ms=self._timeout_ms):
             raise StoreUnavailable(
                 f"this entry's budget of {kind} is used up", code="budget"
@@ -172,25 +183,25 @@
             self._netloc, timeout=self._timeout_ms / 1e3
         )
         try:
-            self._connect(connection)
+            self._connect(connection, target)
             status, content = self._request(connection, method, target, body)
         finally:
             connection.close()
         if status == 503:
             # The platform's certificate that it did nothing.
-            self._fail()
+            self._fail(target)
             raise StoreUnavailable(f"{method} {target} returned 503")
         if status >= 500:
-            self._fail()
+            self._fail(target)
             raise ResponseLost(f"{method} {target} returned {status}")
-        self._breaker.record_success()
+        self._breaker(target).record_success()
         return status, content
 
-    def _connect(self, connection):
+    def _connect(self, connection, target):
         try:
             connection.connect()
         except OSError as error:
-            self._fail()
+            self._fail(target)
             raise StoreUnavailable(f"no connection: {error!r}") from error
 
     def _request(self, connection, method, target, body):
@@ -199,9 +210,9 @@
             response = connection.getresponse()
             return response.status, response.read()
         except (OSError, http.client.HTTPException) as error:
-            self._fail()
+            self._fail(target)
             raise ResponseLost(f"{method} {target} failed: {error!r}") from error
 
-    def _fail(self):
-        self._breaker.record_failure()
+    def _fail(self, target):
+        self._breaker(target).record_failure()
         self._metrics.count("store_failures_total")
--- a/src/monsoonline/adapters/table_store.py
+++ b/src/monsoonline/adapters/table_store.py
@@ -171,7 +171,10 @@
         return StoreUnavailable("the table service is unavailable; nothing changed")
 
     def _result(self, change, transaction, status, content, uncertain):
-        document = orjson.loads(content)
+        try:
+            document = orjson.loads(content)
+        except orjson.JSONDecodeError as error:
+            raise ResponseLost("the response to a transaction is no JSON") from error
         if status == 200:
             committed = change_of(document)
             self.observe_revision(committed.revision)
--- a/src/monsoonline/core/configuration.py
+++ b/src/monsoonline/core/configuration.py
@@ -21,6 +21,7 @@
 
 POLL_INTERVAL_MS = 1000.0
 POLL_JITTER = 0.2
+POLL_SPACING_MS = 100.0
 TICK_INTERVAL_MS = 250.0
 # A silent entry asks a peer well before it would count as isolated.
 KEEPALIVE_MS = 3000.0
@@ -105,6 +106,7 @@
         self._peers_revision = 0
         self._state = None
         self._stopping = threading.Event()
+        self._newer_heard = threading.Event()
 
     @property
     def tables(self):
@@ -131,6 +133,11 @@
         """Whether other entries exist and nothing was heard for 10 s."""
         return self._others_known and self._contact.silent_too_long
 
+    @property
+    def serves_non_idempotent(self):
+        """Whether non-idempotent requests may start; otherwise they are not run."""
+        return not self._contact.paused and not self.isolated
+
     @property
     def age_ms(self):
         """Time since the store or a peer was last heard."""
@@ -166,6 +173,7 @@
     def close(self):
         """Stop polling."""
         self._stopping.set()
+        self._newer_heard.set()
         if self._peers is not None:
             self._peers.close()
 
@@ -173,6 +181,12 @@
         """Record that some message of a peer arrived."""
         self._contact.hear()
 
+    def hear_revision(self, revision):
+        """Record a revision that a peer's message carried; polls soon when newer."""
+        self.hear_contact()
+        if revision > self.revision:
+            self._newer_heard.set()
+
     def tick(self):
         """Record that the process runs; detects a pause of the process."""
         self._contact.tick()
@@ -252,8 +266,14 @@
 
     def _run_polls(self):
         while True:
+            # Messages with a newer revision may come in bursts.
+            if self._stopping.wait(POLL_SPACING_MS / 1e3):
+                return
             jitter = 1.0 + POLL_JITTER * (2.0 * self._generator.random() - 1.0)
-            if self._stopping.wait(POLL_INTERVAL_MS * jitter / 1e3):
+            rest_ms = POLL_INTERVAL_MS * jitter - POLL_SPACING_MS
+            self._newer_heard.wait(rest_ms / 1e3)
+            self._newer_heard.clear()
+            if self._stopping.is_set():
                 return
             try:
                 self.poll()
@@ -273,11 +293,14 @@
                 self.apply_rows(RowSet.of_rows(self._store.read_rows()), "store")
                 return True
             while self._store.revision() > self.revision:
+                before = self.revision
                 changes = tuple(
-                    row_change_of(c) for c in self._store.read_changes(self.revision)
+                    row_change_of(c) for c in self._store.read_changes(before)
                 )
-                if not self.apply_changes(changes, "store"):
+                if not changes or not self.apply_changes(changes, "store"):
                     self.apply_rows(RowSet.of_rows(self._store.read_rows()), "store")
+                if self.revision == before:
+                    return False
             return True
         except StoreUnavailable:
             return False
--- a/tests/adapters/test_table_store.py
+++ b/tests/adapters/test_table_store.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from monsoonline.adapters.object_store import HttpObjectStore
 from monsoonline.adapters.platform import PlatformClient, PlatformLimits, ResponseLost
 from monsoonline.clock import SystemClock
 from monsoonline.errors import (
@@ -76,6 +77,16 @@
         self.assertRaises(StoreUnavailable, self.store.commit, change)
         self.assertEqual(self.platform.counters()["reads"]["total"], 0)
 
+    def test_outage_of_the_object_store_leaves_the_tables_alone(self):
+        """Guards against one breaker for all services."""
+        self.platform.set_faults("objects", outage=True)
+        objects = HttpObjectStore(client=self.store._client)
+        for _ in range(6):
+            self.assertRaises(StoreUnavailable, objects.put, "x", b"")
+        self.assertEqual(self.store.revision(), 1)
+        states = {n: b.state for n, b in self.store._client.breakers.items()}
+        self.assertEqual((states["objects"], states["tables"]), ("open", "closed"))
+
     def test_stale_read_is_detected_and_not_used(self):
         self.store.commit(edit("routes", "lookup", route_document()))
         self.platform.set_faults("tables", stale=1)
--- a/tests/core/test_configuration.py
+++ b/tests/core/test_configuration.py
@@ -1,6 +1,7 @@
 """Tests of the tables in effect, with several entries in one process."""
 
 import dataclasses
+import threading
 import unittest
 from unittest import mock
 
@@ -139,6 +140,18 @@
         # Smaller chunks than in production show that parts are joined.
         self.assertGreater(len(self.network.sizes), 10)
 
+    def test_heard_revision_is_fetched_without_waiting_for_the_next_poll(self):
+        with mock.patch.object(ConfigurationPeers, "offer", return_value=(0, 0)):
+            self.edit_pool(self.entries[0], 4)
+        applied = threading.Event()
+        with mock.patch("monsoonline.core.configuration.POLL_INTERVAL_MS", 60_000.0):
+            entry = self.entries[4]
+            entry.subscribe(lambda tables: tables.revision == 2 and applied.set())
+            with mock.patch.object(entry, "poll", lambda: None):
+                entry.start()
+            entry.hear_revision(2)
+            self.assertTrue(applied.wait(5.0))
+
 
 class TestMonotonicity(ConfigurationTest):
     """An older revision never replaces a newer one (R7)."""
