--- a/src/monsoonline/commands/__init__.py
+++ b/src/monsoonline/commands/__init__.py
@@ -13,6 +13,8 @@
     "standin": "monsoonline.commands.standin",
     "upstream": "monsoonline.commands.upstream",
     "demo": "monsoonline.commands.demo",
+    "routes": "monsoonline.commands.routes",
+    "pools": "monsoonline.commands.pools",
     "check": "monsoonline.commands.check",
     "report": "monsoonline.commands.report",
     "verify": "monsoonline.commands.verify",
--- a/src/monsoonline/commands/entry.py
+++ b/src/monsoonline/commands/entry.py
@@ -30,11 +30,11 @@
     """
     try:
         settings = load_settings(settings_file)
+        configure_logging(settings.log_level)
+        service = EntryService(settings=settings)
     except FindingsError as error:
         click.echo(str(error), err=True)
         sys.exit(2)
-    configure_logging(settings.log_level)
-    service = EntryService(settings=settings)
     stopped = threading.Event()
 
     def handle_signal(*_):
--- a/src/monsoonline/entry/operations.py
+++ b/src/monsoonline/entry/operations.py
@@ -28,8 +28,7 @@
     :param service_levels: :class:`monsoonline.core.service_levels.ServiceLevels`
     :param ready: function that tells whether callers may be sent here
     :param status: function that returns the status document
-    :param administration: :class:`monsoonline.entry.administration.Administration`,
-        or ``None``
+    :param administration: :class:`monsoonline.entry.administration.Administration`
     """
 
     def __init__(
@@ -40,7 +39,7 @@
         service_levels,
         ready,
         status,
-        administration=None,
+        administration,
     ):
         self._metrics = metrics
         self._configuration = configuration
@@ -61,9 +60,7 @@
         handler = self._handlers.get(request.path)
         if handler is not None:
             return handler()
-        if self._administration is not None:
-            return self._administration.handle(request)
-        return Answer(status=404)
+        return self._administration.handle(request) or Answer(status=404)
 
     def _answer_metrics(self):
         content, headers = self._metrics.render()
--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -14,6 +14,7 @@
 from monsoonline.core.dispatch import Dispatcher
 from monsoonline.core.ledger import Ledger
 from monsoonline.core.service_levels import ServiceLevels
+from monsoonline.entry.administration import Administration, resolve_tokens
 from monsoonline.entry.discovery import Discovery
 from monsoonline.entry.keys import KeyDirectory
 from monsoonline.entry.lifecycle import EntryState, Lifecycle, StopTimes
@@ -67,6 +68,7 @@
             timeout_ms=settings.platform.timeout_ms,
             metrics=self._metrics,
         )
+        self._store = HttpTableStore(client=self._platform)
         self._configuration = self._make_configuration()
         self._dispatcher = Dispatcher(clock=self._clock)
         self._transport = HttpUpstreamTransport(
@@ -177,7 +179,7 @@
         return Configuration(
             name=self._settings.name,
             clock=self._clock,
-            store=HttpTableStore(client=self._platform),
+            store=self._store,
             objects=HttpObjectStore(client=self._platform),
             codec=ConfigurationCodec(),
             metrics=self._metrics,
@@ -186,12 +188,20 @@
         )
 
     def _make_operations(self):
+        administration = Administration(
+            configuration=self._configuration,
+            store=self._store,
+            tokens=resolve_tokens(self._settings.tokens),
+            clock=self._clock,
+            metrics=self._metrics,
+        )
         return Operations(
             metrics=self._metrics,
             configuration=self._configuration,
             service_levels=self._service_levels,
             ready=lambda: self.ready,
             status=self._status,
+            administration=administration,
         )
 
     def _status(self):
