--- a/tests/commands/test_entry.py
+++ b/tests/commands/test_entry.py
@@ -64,14 +64,21 @@
         self.addCleanup(process.kill)
         return process, orjson.loads(process.stdout.readline())["callers"]
 
-    def book(self, address):
-        """Start a booking over a plain connection; return the connection."""
+    def connect(self, address):
         host, _, port = address.partition(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=10)
         self.addCleanup(connection.close)
+        return connection
+
+    @staticmethod
+    def token(connection):
         connection.request("GET", "/.well-known/monsoonline/token")
-        token = orjson.loads(connection.getresponse().read())["token"]
-        headers = {"Monsoonline-Key": f"{token}.a"}
+        return orjson.loads(connection.getresponse().read())["token"]
+
+    def book(self, address):
+        """Start a booking over a plain connection; return the connection."""
+        connection = self.connect(address)
+        headers = {"Monsoonline-Key": f"{self.token(connection)}.a"}
         connection.request("POST", "/surveys", body=b"{}", headers=headers)
         return connection
 
@@ -115,6 +122,24 @@
         code, report = self.finish(process)
         self.assertEqual((code, report["shortened"], report["cut"]), (1, True, 0))
 
+    def test_resumed_entry_without_store_refuses_bookings_as_not_run(self):
+        """Paused longer than 2 s while the store is unavailable."""
+        process, address = self.start_entry("one")
+        connection = self.connect(address)
+        headers = {"Monsoonline-Key": f"{self.token(connection)}.a"}
+        process.send_signal(signal.SIGSTOP)
+        self.platform.close()
+        time.sleep(2.3)
+        connection.request("POST", "/surveys", body=b"{}", headers=headers)
+        process.send_signal(signal.SIGCONT)
+        response = connection.getresponse()
+        self.assertEqual(orjson.loads(response.read())["code"], "entry-paused")
+        self.assertEqual(response.getheader("Monsoonline-Outcome"), "not-run")
+        connection.request("GET", "/.well-known/monsoonline/entries")
+        document = orjson.loads(connection.getresponse().read())
+        self.assertEqual(document["entries"], [])
+        self.assertEqual(self.upstream.runs, ())
+
     def test_killed_entry_doubles_no_booking_and_leaves_few_unknown(self):
         """Callers resend elsewhere while the owner of their keys is gone."""
         started = [self.start_entry(name) for name in ("one", "two", "three")]
