Add authenticated peer messages over UDP and TCP

Cause: the gossip had no transport, and entries could not ask each other.

Change: pycapnp messages with version, key id, sequence number and HMAC-SHA256; replay window; gossip datagrams; requests over one connection and one task per peer with nonces, time limits, backoff and a bound on connections; a new entry fetches the whole member table once over TCP. An entry with peer keys takes its members from there, without keys it runs alone.

--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -7,6 +7,7 @@
 
 from monsoonline.adapters.http_server import HttpServer
 from monsoonline.adapters.http_upstream import HttpUpstreamTransport
+from monsoonline.adapters.peer_network import SocketPeerNetwork
 from monsoonline.adapters.platform import PlatformClient
 from monsoonline.clock import SystemClock
 from monsoonline.core.dispatch import Dispatcher
@@ -56,6 +57,7 @@
             lifetime_ms=settings.discovery_lifetime_ms,
         )
         self._tables = None
+        self._peers = None
         self._stopping = threading.Event()
         self._callers = HttpServer(
             handler=self._handle_caller,
@@ -86,7 +88,9 @@
         return self._tables is not None
 
     def members(self):
-        """Return the members that this entry knows."""
+        """Return the members that this entry knows, itself first."""
+        if self._peers is not None:
+            return self._peers.members()
         own = Member(
             name=self._settings.name,
             incarnation=self._ledger.incarnation,
@@ -99,17 +103,42 @@
 
     def start(self):
         """Start serving."""
+        self._peers = self._open_peers()
         self._refresh()
         self._callers.start()
         self._operations.start()
+        if self._peers is not None:
+            self._peers.start()
         threading.Thread(target=self._poll, name="tables", daemon=True).start()
 
     def close(self):
         """Stop serving."""
         self._stopping.set()
+        if self._peers is not None:
+            self._peers.close()
         self._callers.close()
         self._operations.close()
 
+    def _open_peers(self):
+        """Return the peer network, or ``None`` without keys: the entry runs alone."""
+        settings = self._settings
+        if not settings.peer_keys:
+            return None
+        return SocketPeerNetwork(
+            host=settings.peers.host,
+            port=settings.peers.port,
+            keys={key.id: key.secret.encode() for key in settings.peer_keys},
+            signing_key=settings.peer_keys[0].id,
+            name=settings.name,
+            incarnation=self._ledger.incarnation,
+            address=self.callers_address,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            clock=self._clock,
+            metrics=self._metrics,
+            virtual_machines=self._platform.read,
+        )
+
     def _poll(self):
         while not self._stopping.wait(POLL_INTERVAL_MS / 1e3):
             self._refresh()
@@ -124,6 +153,12 @@
             self._dispatcher.update_tables(tables)
             self._relay.use_routes(RouteTable(routes=tables.routes.values()))
             self._tables = tables
+            if self._peers is not None:
+                self._peers.set_own(
+                    ready=self.ready,
+                    revision=tables.revision,
+                    checksum=tables.checksum,
+                )
             self._metrics.gauge("revision", tables.revision)
             logger.info("tables in effect", extra={"revision": tables.revision})
 
@@ -132,6 +167,8 @@
 
     def _handle_operations(self, request):
         if request.path == "/metrics":
+            if self._peers is not None:
+                self._peers.export()
             content, headers = self._metrics.render()
             return Answer(status=200, headers=tuple(headers.items()), body=content)
         if request.path == "/healthz":
--- a/src/monsoonline/errors.py
+++ b/src/monsoonline/errors.py
@@ -10,6 +10,8 @@
     "Finding",
     "FindingsError",
     "MonsoonlineError",
+    "PeerMessageRejected",
+    "PeerUnavailable",
     "Refusal",
     "StoreUnavailable",
 ]
@@ -152,3 +154,15 @@
     def current(self):
         """The row's current version, or ``None`` where it does not exist."""
         return self._current
+
+
+class PeerUnavailable(MonsoonlineError):
+    """A peer did not reply in time, or its reply is an error."""
+
+    default_code = "peer-unavailable"
+
+
+class PeerMessageRejected(MonsoonlineError):
+    """A message from the peer port was dropped; the code names the cause."""
+
+    default_code = "malformed"
--- /dev/null
+++ b/tests/adapters/test_peer_network.py
@@ -0,0 +1,256 @@
+"""Tests of peer messages over real sockets on loopback."""
+
+import socket
+import threading
+import time
+import unittest
+
+from monsoonline.adapters.peer_network import SocketPeerNetwork
+from monsoonline.clock import SystemClock
+from monsoonline.errors import MonsoonlineError, PeerUnavailable
+from monsoonline.metrics import Metrics
+from monsoonline.ports import Member, PeerNetwork, VirtualMachine
+
+KEYS = {1: b"first-secret-1234"}
+
+
+class TestSocketPeerNetwork(unittest.TestCase):
+    """Gossip and requests between entries in one process."""
+
+    def setUp(self):
+        self.rows = []
+        self.metrics = {}
+
+    def start(self, number, *, keys=KEYS):
+        self.metrics[number] = Metrics()
+        network = SocketPeerNetwork(
+            host="127.0.0.1",
+            port=0,
+            keys=keys,
+            signing_key=next(iter(keys)),
+            name=f"entry-{number}",
+            incarnation=f"{number:016x}",
+            address=f"127.0.0.1:{number}",
+            failure_domain="a",
+            region="r",
+            clock=SystemClock(),
+            metrics=self.metrics[number],
+            virtual_machines=lambda: tuple(self.rows),
+            seed=number,
+        )
+        self.rows.append(
+            VirtualMachine(
+                name=f"entry-{number}",
+                role="entry",
+                address=f"127.0.0.1:{number}",
+                failure_domain="a",
+                peer_address=network.address,
+            )
+        )
+        self.addCleanup(network.close)
+        network.start()
+        return network
+
+    def wait(self, condition, limit_s=5.0):
+        deadline = time.monotonic() + limit_s
+        while not condition() and time.monotonic() < deadline:
+            time.sleep(0.02)
+        self.assertTrue(condition())
+
+    @staticmethod
+    def member(network):
+        return network.members()[0]
+
+    def silent_member(self, accept=True):
+        listener = socket.socket()
+        self.addCleanup(listener.close)
+        listener.bind(("127.0.0.1", 0))
+        if accept:
+            listener.listen()
+        return Member(
+            name="silent",
+            incarnation="",
+            address="",
+            peer_address=f"127.0.0.1:{listener.getsockname()[1]}",
+            failure_domain="a",
+        )
+
+    def test_entries_join_and_share_items(self):
+        first, second = self.start(1), self.start(2)
+        self.assertIsInstance(first, PeerNetwork)
+        seen = []
+        first.subscribe("drain", seen.append)
+        second.publish("drain", "10.1.0.1:80", b"why")
+        second.set_own(ready=True, revision=4)
+        self.wait(lambda: seen and len(first.members()) == 2)
+        self.wait(lambda: first.members()[1].ready)
+        other = first.members()[1]
+        self.assertEqual((other.address, other.revision), ("127.0.0.1:2", 4))
+        self.assertEqual(seen[0].owner, f"{2:016x}")
+
+    def test_request_is_answered_and_errors_are_replies(self):
+        first, second = self.start(1), self.start(2)
+
+        def refuse(name, payload):
+            raise MonsoonlineError("no", code="refused-here")
+
+        def fail(name, payload):
+            raise RuntimeError("fault in a handler")
+
+        second.serve("echo", lambda name, payload: name.encode() + payload)
+        second.serve("refuse", refuse)
+        second.serve("fail", fail)
+        second.serve("large", lambda name, payload: b"x" * (1024 * 1024 + 1))
+        target = self.member(second)
+        large = bytes(range(1, 255)) * 4128
+        for payload in (b"", b"a", large):
+            reply = first.request(target, "echo", payload, timeout_ms=3000)
+            self.assertEqual(reply, b"entry-1" + payload)
+        cases = {
+            "refuse": "refused-here",
+            "fail": "handler-failed",
+            "none": "unknown-request",
+            "large": "reply-oversized",
+        }
+        for kind, code in cases.items():
+            with self.assertRaises(PeerUnavailable) as caught:
+                first.request(target, kind, b"", timeout_ms=3000)
+            self.assertEqual(caught.exception.code, code)
+        with self.assertRaises(ValueError):
+            first.request(target, "echo", b"x" * (1024 * 1024 + 1), timeout_ms=1000)
+
+    def test_silent_peer_is_unavailable_in_time(self):
+        """A connection that became silent must not hold up the caller."""
+        first = self.start(1)
+        for accept in (True, False):
+            start = time.monotonic()
+            with self.assertRaises(PeerUnavailable):
+                first.request(self.silent_member(accept), "echo", b"", timeout_ms=200)
+            self.assertLess(time.monotonic() - start, 0.6)
+
+    def test_slow_handler_times_out_and_its_late_reply_is_not_mixed_up(self):
+        first, second = self.start(1), self.start(2)
+        release = threading.Event()
+        self.addCleanup(release.set)
+
+        def answer(name, payload):
+            if payload == b"slow":
+                release.wait(3)
+            return payload
+
+        second.serve("echo", answer)
+        target = self.member(second)
+        with self.assertRaises(PeerUnavailable):
+            first.request(target, "echo", b"slow", timeout_ms=150)
+        release.set()
+        self.wait(lambda: self.try_echo(first, target) == b"next")
+
+    @staticmethod
+    def try_echo(network, target):
+        try:
+            return network.request(target, "echo", b"next", timeout_ms=500)
+        except PeerUnavailable:
+            return None
+
+    def test_other_process_at_the_address_is_not_asked(self):
+        first, second = self.start(1), self.start(2)
+        second.serve("echo", lambda name, payload: payload)
+        target = self.member(second)
+        former = Member(
+            name=target.name,
+            incarnation="f" * 16,
+            address="",
+            peer_address=target.peer_address,
+            failure_domain="a",
+        )
+        with self.assertRaisesRegex(PeerUnavailable, "another process"):
+            first.request(former, "echo", b"", timeout_ms=1000)
+
+    def test_wrong_key_is_refused_on_both_transports(self):
+        first = self.start(1)
+        stranger = self.start(2, keys={1: b"another-secret-12"})
+        with self.assertRaises(PeerUnavailable):
+            stranger.request(self.member(first), "members", b"", timeout_ms=500)
+        dropped = {"cause": "bad-signature"}
+        self.wait(
+            lambda: self.metrics[1].value("peer_messages_dropped_total", **dropped) >= 2
+        )
+        self.assertEqual(len(first.members()), 1)
+
+    def test_recorded_connection_cannot_be_replayed(self):
+        """The recorded bytes of a request must not run it a second time."""
+        first, second = self.start(1), self.start(2)
+        runs = []
+        second.serve("run", lambda name, payload: runs.append(payload) or b"done")
+        recorded = RecordingProxy(self.member(second).peer_address)
+        self.addCleanup(recorded.close)
+        target = Member(
+            name="entry-2",
+            incarnation=f"{2:016x}",
+            address="",
+            peer_address=recorded.address,
+            failure_domain="a",
+        )
+        first.request(target, "run", b"once", timeout_ms=2000)
+        self.assertEqual(runs, [b"once"])
+        host, _, port = self.member(second).peer_address.rpartition(":")
+        with socket.create_connection((host, int(port)), timeout=2) as attacker:
+            attacker.sendall(bytes(recorded.sent))
+            while attacker.recv(4096):
+                pass
+        self.assertEqual(runs, [b"once"])
+
+    def test_replayed_and_garbage_datagrams_are_counted(self):
+        first = self.start(1)
+        host, _, port = first.address.rpartition(":")
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(sender.close)
+        second = self.start(2)
+        codec = second._codec
+        message = codec.seal(b"x" * 8)
+        for content in (message, message, b"garbage", b"x" * 1300):
+            sender.sendto(content, (host, int(port)))
+        for cause in ("replayed", "malformed", "oversized"):
+            self.wait(
+                lambda c=cause: (
+                    self.metrics[1].value("peer_messages_dropped_total", cause=c) > 0
+                )
+            )
+
+
+class RecordingProxy:
+    """Passes one connection on and records what the opener sent.
+
+    :param target: ``host:port``
+    """
+
+    def __init__(self, target):
+        self.sent = bytearray()
+        self._target = target
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def close(self):
+        """Close the listener."""
+        self._listener.close()
+
+    def _run(self):
+        opener, _ = self._listener.accept()
+        host, _, port = self._target.rpartition(":")
+        with opener, socket.create_connection((host, int(port))) as onward:
+            back = threading.Thread(target=self._copy, args=(onward, opener, None))
+            back.start()
+            self._copy(opener, onward, self.sent)
+            back.join()
+
+    @staticmethod
+    def _copy(source, target, record):
+        try:
+            while content := source.recv(65536):
+                if record is not None:
+                    record += content
+                target.sendall(content)
+            target.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
--- a/tests/entry/test_service.py
+++ b/tests/entry/test_service.py
@@ -1,6 +1,7 @@
 """Tests of one entry over real sockets."""
 
 import http.client
+import time
 import unittest
 
 import orjson
@@ -75,3 +76,40 @@
         response, _ = self.call("POST", "/surveys")
         self.assertEqual(response.status, 428)
         self.assertEqual(self.upstream.runs, ())
+
+
+class TestEntryMembers(unittest.TestCase):
+    """Entries with peer keys learn each other's callers' address."""
+
+    def test_entries_find_each_other_through_the_virtual_machine_list(self):
+        platform = PlatformStandIn()
+        platform.start()
+        self.addCleanup(platform.close)
+        keys = [{"id": 1, "secret": "s" * 32}]
+        services = []
+        for name in ("entry-1", "entry-2"):
+            settings = EntrySettings(
+                name=name, platform={"url": platform.url}, peer_keys=keys
+            )
+            service = EntryService(settings=settings)
+            self.addCleanup(service.close)
+            service.start()
+            services.append(service)
+        platform.put_machines(
+            {
+                "name": service.members()[0].name,
+                "role": "entry",
+                "address": service.callers_address,
+                "failure_domain": "default",
+                "peer_address": service.members()[0].peer_address,
+            }
+            for service in services
+        )
+        addresses = {service.callers_address for service in services}
+        deadline = time.monotonic() + 8
+        while time.monotonic() < deadline:
+            known = [{m.address for m in s.members() if m.ready} for s in services]
+            if known == [addresses, addresses]:
+                break
+            time.sleep(0.05)
+        self.assertEqual(known, [addresses, addresses])
