Merge membership, and share drains, load and crashes between entries

Cause: each entry decided on what it saw alone, and a starting entry served before it knew which upstreams were leaving. Change: the entry opens the peer network from its settings; drains, load and crash reports ride on it; a starting entry asks its peers or the VM list for the leaving upstreams before it is ready; probes run within the plan; the probe path is part of a pool's measuring budget. What a peer told is not published again: two entries kept a drain notice alive by echoing it. Conclusion: an upstream that returns under its old address may wait up to 600 s for work from entries that heard of the drain by a peer.

--- a/src/monsoonline/adapters/local_peers.py
+++ b/src/monsoonline/adapters/local_peers.py
@@ -116,13 +116,32 @@
         """This entry as others see it."""
         return self._member
 
-    def update(self, **fields):
-        """Change fields of this entry's own :class:`Member`, such as ``state``."""
-        self._member = dataclasses.replace(self._member, **fields)
+    @property
+    def address(self):
+        """Empty, since messages need no port."""
+        return ""
+
+    def start(self):
+        """Do nothing: messages pass since the entry joined."""
+
+    def close(self):
+        """Leave the hub."""
+        self._hub.leave(self._member.incarnation)
+
+    def export(self):
+        """Do nothing: no bytes are sent."""
+
+    def set_own(self, *, leaving=None, checksum=None, **changes):
+        """Change this entry's own :class:`Member`."""
+        if leaving is not None:
+            changes["state"] = "leaving" if leaving else "alive"
+        self._member = dataclasses.replace(self._member, **changes)
 
     def members(self):
-        """Return all known members, this entry included."""
-        return self._hub.members()
+        """Return all known members, this entry first."""
+        own = self._member
+        others = (m for m in self._hub.members() if m.incarnation != own.incarnation)
+        return (own, *others)
 
     def publish(self, kind, key, payload):
         """Spread a shared item to all members."""
--- a/src/monsoonline/core/documents.py
+++ b/src/monsoonline/core/documents.py
@@ -113,6 +113,7 @@
 
     probes_per_second: float = pydantic.Field(default=2.0, ge=0, le=1000)
     slot_share: float = pydantic.Field(default=0.02, ge=0, le=1)
+    path: str = pydantic.Field(default="/health", pattern="^/")
 
 
 class PoolDocument(Document):
--- a/src/monsoonline/core/model.py
+++ b/src/monsoonline/core/model.py
@@ -118,10 +118,12 @@
 
     :param probes_per_second: probes an upstream receives at most
     :param slot_share: share of its slots that probes may occupy, 0 to 1
+    :param path: path of the probe request
     """
 
     probes_per_second: float = 2.0
     slot_share: float = 0.02
+    path: str = "/health"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/monsoonline/entry/operations.py
+++ b/src/monsoonline/entry/operations.py
@@ -24,6 +24,7 @@
     """Answers the requests of operators and of the platform's health checks.
 
     :param metrics: :class:`monsoonline.metrics.Metrics`
+    :param peers: :class:`monsoonline.ports.PeerNetwork`, or ``None``
     :param configuration: source of the routes in effect
     :param service_levels: :class:`monsoonline.core.service_levels.ServiceLevels`
     :param ready: function that tells whether callers may be sent here
@@ -35,6 +36,7 @@
         self,
         *,
         metrics,
+        peers,
         configuration,
         service_levels,
         ready,
@@ -42,6 +44,7 @@
         administration,
     ):
         self._metrics = metrics
+        self._peers = peers
         self._configuration = configuration
         self._service_levels = service_levels
         self._ready = ready
@@ -63,6 +66,8 @@
         return self._administration.handle(request) or Answer(status=404)
 
     def _answer_metrics(self):
+        if self._peers is not None:
+            self._peers.export()
         content, headers = self._metrics.render()
         return Answer(status=200, headers=tuple(headers.items()), body=content)
 
--- a/src/monsoonline/entry/outcomes.py
+++ b/src/monsoonline/entry/outcomes.py
@@ -26,6 +26,7 @@
     "refusal_answer",
 ]
 
+DRAINING_HEADER = "Monsoonline-Draining"
 NOT_RUN_HEADER = "Monsoonline-Not-Run"
 OUTCOME_HEADER = "Monsoonline-Outcome"
 TOKEN_HEADER = "Monsoonline-Token"
--- /dev/null
+++ b/src/monsoonline/entry/probes.py
@@ -0,0 +1,72 @@
+"""Probes of upstreams within the measuring budget."""
+
+import concurrent.futures
+
+from monsoonline.adapters.http_upstream import ExchangeFailed
+from monsoonline.entry.outcomes import DRAINING_HEADER, parse_load
+from monsoonline.types import Request
+
+__all__ = ["Prober"]
+
+PROBE_TIMEOUT_MS = 250.0
+PROBE_WORKERS = 4
+HEALTH_SOURCE = "health"
+
+
+class Prober:
+    """Sends the probes that the dispatcher plans.
+
+    :param clock: source of time
+    :param dispatcher: plans probes and learns from them
+    :param transport: exchanges with upstreams
+    :param metrics: counters
+    """
+
+    def __init__(self, *, clock, dispatcher, transport, metrics):
+        self._clock = clock
+        self._dispatcher = dispatcher
+        self._transport = transport
+        self._metrics = metrics
+        self._paths = {}
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            max_workers=PROBE_WORKERS, thread_name_prefix="probe"
+        )
+
+    def use_tables(self, tables):
+        """Use the probe paths of newly accepted tables."""
+        self._paths = {name: p.measuring.path for name, p in tables.pools.items()}
+
+    def send_due(self):
+        """Send all probes that are due; called several times a second."""
+        for pool_name, upstream in self._dispatcher.due_probes():
+            self._executor.submit(self._probe, pool_name, upstream)
+
+    def close(self):
+        """Send no further probe."""
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+    def _probe(self, pool_name, upstream):
+        request = Request(
+            method="GET",
+            host=upstream.address,
+            target=self._paths.get(pool_name, "/health"),
+            headers=(("Host", upstream.address),),
+        )
+        try:
+            answer = self._transport.exchange(
+                upstream,
+                request,
+                deadline=self._clock.now() + PROBE_TIMEOUT_MS,
+                idempotent=True,
+            )
+        except ExchangeFailed:
+            self._metrics.count("probes_total", pool=pool_name, result="failed")
+            return
+        self._metrics.count("probes_total", pool=pool_name, result="answered")
+        draining = answer.header(DRAINING_HEADER) == "true"
+        self._dispatcher.set_leaving(
+            upstream.address, source=HEALTH_SOURCE, leaving=draining
+        )
+        load = parse_load(answer)
+        if load is not None:
+            self._dispatcher.observe_probe(pool_name, upstream.address, load)
--- a/src/monsoonline/entry/relay.py
+++ b/src/monsoonline/entry/relay.py
@@ -10,6 +10,7 @@
 from monsoonline.core.model import RefusalMeaning
 from monsoonline.core.routing import RouteTable
 from monsoonline.entry.outcomes import (
+    DRAINING_HEADER,
     Attempt,
     History,
     answer_kind,
@@ -258,7 +259,7 @@
             kind=kind,
             latency_ms=self._clock.now() - started,
             load=parse_load(answer),
-            draining=answer.header("Monsoonline-Draining") == "true",
+            draining=answer.header(DRAINING_HEADER) == "true",
         )
         ran = kind is not AttemptKind.SHED
         return Attempt(result=result, may_have_run=ran, answer=answer)
--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -1,13 +1,16 @@
 """Composition of one entry process."""
 
+import logging
 import threading
 
 from monsoonline.adapters.configuration_codec import ConfigurationCodec
 from monsoonline.adapters.http_server import HttpServer
 from monsoonline.adapters.http_upstream import HttpUpstreamTransport
 from monsoonline.adapters.object_store import HttpObjectStore
+from monsoonline.adapters.peer_network import SocketPeerNetwork
 from monsoonline.adapters.platform import PlatformClient
 from monsoonline.adapters.table_store import HttpTableStore
+from monsoonline.adapters.vm_list import HttpVirtualMachineList
 from monsoonline.clock import SystemClock
 from monsoonline.core.configuration import Configuration
 from monsoonline.core.contact import PauseDetector
@@ -19,15 +22,20 @@
 from monsoonline.entry.keys import KeyDirectory
 from monsoonline.entry.lifecycle import EntryState, Lifecycle, StopTimes
 from monsoonline.entry.operations import Operations
+from monsoonline.entry.probes import Prober
 from monsoonline.entry.relay import Relay
+from monsoonline.entry.sharing import Sharing
 from monsoonline.metrics import Metrics
 from monsoonline.ports import Member
 
 __all__ = ["EntryService"]
 
-STATE_INTERVAL_MS = 250.0
+STATE_INTERVAL_MS = 100.0
+VM_LIST_INTERVAL_MS = 2000.0
 OPERATIONS_WORKERS = 64
 
+logger = logging.getLogger(__name__)
+
 
 class EntryService:
     """One entry: callers' port, operations port and the upkeep of its tables.
@@ -35,7 +43,8 @@
     :param settings: :class:`monsoonline.settings.EntrySettings`
     :param clock: source of time
     :param connect_peers: called with this entry's :class:`Member`, returns its
-        :class:`monsoonline.ports.PeerNetwork`; ``None`` for a single entry
+        :class:`monsoonline.ports.PeerNetwork`; by default sockets where the settings
+        have peer keys, and a single entry otherwise
     """
 
     def __init__(self, *, settings, clock=None, connect_peers=None):
@@ -54,26 +63,39 @@
         )
         self._lifecycle = self._make_lifecycle()
         self._ledger = Ledger(clock=self._clock, admission=self._lifecycle.admit)
-        if connect_peers is not None:
-            self._peers = connect_peers(self._own_member())
-        self._keys = KeyDirectory(
-            ledger=self._ledger,
-            peers=self._peers,
-            clock=self._clock,
-            metrics=self._metrics,
-        )
         self._platform = PlatformClient(
             url=settings.platform.url,
             clock=self._clock,
             timeout_ms=settings.platform.timeout_ms,
             metrics=self._metrics,
         )
+        self._machines = HttpVirtualMachineList(client=self._platform)
+        self._peers = (connect_peers or self._open_peers)(self._own_member())
+        self._keys = KeyDirectory(
+            ledger=self._ledger,
+            peers=self._peers,
+            clock=self._clock,
+            metrics=self._metrics,
+        )
         self._store = HttpTableStore(client=self._platform)
         self._configuration = self._make_configuration()
-        self._dispatcher = Dispatcher(clock=self._clock)
+        self._dispatcher = Dispatcher(clock=self._clock, owner=self.incarnation)
         self._transport = HttpUpstreamTransport(
             clock=self._clock, count=self._metrics.connection_event
         )
+        self._prober = Prober(
+            clock=self._clock,
+            dispatcher=self._dispatcher,
+            transport=self._transport,
+            metrics=self._metrics,
+        )
+        self._sharing = Sharing(
+            clock=self._clock,
+            dispatcher=self._dispatcher,
+            machines=self._machines,
+            metrics=self._metrics,
+            peers=self._peers,
+        )
         self._relay = Relay(
             clock=self._clock,
             dispatcher=self._dispatcher,
@@ -133,12 +155,15 @@
 
     def start(self):
         """Start serving."""
+        if self._peers is not None:
+            self._peers.start()
         self._configuration.start()
+        self._sharing.read_machines()
         self._callers.start()
         self._operations.start()
         self._follow_state()
-        for target in (self._run_state, self._run_detector):
-            threading.Thread(target=target, name=target.__name__, daemon=True).start()
+        for task in (self._run_state, self._run_machines, self._run_detector):
+            threading.Thread(target=task, name=task.__name__, daemon=True).start()
 
     def stop(self):
         """Stop gracefully, then close.
@@ -156,6 +181,9 @@
     def close(self):
         """Stop serving at once."""
         self._stopping.set()
+        if self._peers is not None:
+            self._peers.close()
+        self._prober.close()
         self._configuration.close()
         self._callers.close()
         self._operations.close()
@@ -197,6 +225,7 @@
         )
         return Operations(
             metrics=self._metrics,
+            peers=self._peers,
             configuration=self._configuration,
             service_levels=self._service_levels,
             ready=lambda: self.ready,
@@ -214,6 +243,11 @@
             "revision": self._configuration.revision,
             "table_age_ms": round(self._configuration.age_ms),
             "requests_in_flight": self.requests_in_flight,
+            "leaving_upstreams": sorted(self._dispatcher.leaving),
+            "members": [
+                {"name": m.name, "state": m.state, "ready": m.ready}
+                for m in self.members()
+            ],
         }
 
     def _own_member(self):
@@ -231,6 +265,7 @@
     def _use_tables(self, tables):
         self._dispatcher.update_tables(tables)
         self._transport.update_tables(tables, entries=len(self.members()))
+        self._prober.use_tables(tables)
         self._relay.use_tables(tables)
 
     def _run_detector(self):
@@ -240,18 +275,51 @@
         while not self._stopping.wait(STATE_INTERVAL_MS / 1e3):
             self._follow_state()
 
+    def _run_machines(self):
+        while not self._stopping.wait(VM_LIST_INTERVAL_MS / 1e3):
+            self._sharing.read_machines()
+
     def _follow_state(self):
-        """Become ready with the configuration, and tell the peers."""
-        if self._configuration.ready:
+        """Become ready with the configuration, and share what is new."""
+        if self._configuration.ready and self._sharing.informed:
             self._lifecycle.set_ready()
+        try:
+            self._sharing.tick()
+            self._prober.send_due()
+        except Exception:
+            self._metrics.count("sharing_failures_total")
+            logger.exception("sharing with peers failed")
         self._publish_state()
 
     def _publish_state(self):
-        ready = self.ready
-        self._metrics.gauge("entry_ready", int(ready))
+        self._metrics.gauge("entry_ready", int(self.ready))
         if self._peers is not None:
-            leaving = self.state not in (EntryState.STARTING, EntryState.READY)
-            self._peers.update(state="leaving" if leaving else "alive", ready=ready)
+            self._peers.set_own(
+                leaving=self.state not in (EntryState.STARTING, EntryState.READY),
+                ready=self.ready,
+                revision=self._configuration.revision,
+                checksum=self._configuration.checksum,
+            )
+
+    def _open_peers(self, own):
+        """Return the peer network, or ``None`` without keys."""
+        settings = self._settings
+        if not settings.peer_keys:
+            return None
+        return SocketPeerNetwork(
+            host=settings.peers.host,
+            port=settings.peers.port,
+            keys={key.id: key.secret.encode() for key in settings.peer_keys},
+            signing_key=settings.peer_keys[0].id,
+            name=own.name,
+            incarnation=own.incarnation,
+            address=own.address,
+            failure_domain=own.failure_domain,
+            region=settings.region,
+            clock=self._clock,
+            metrics=self._metrics,
+            virtual_machines=self._machines.read,
+        )
 
     def _handle_caller(self, request):
         return self._discovery.handle(request) or self._relay.handle(request)
--- a/src/monsoonline/errors.py
+++ b/src/monsoonline/errors.py
@@ -11,6 +11,7 @@
     "Finding",
     "FindingsError",
     "MonsoonlineError",
+    "PeerMessageRejected",
     "PeerUnavailable",
     "Refusal",
     "StaleRead",
@@ -177,3 +178,9 @@
     """A read returned an older revision than one already seen."""
 
     default_code = "stale-read"
+
+
+class PeerMessageRejected(MonsoonlineError):
+    """A message from the peer port was dropped; the code names the cause."""
+
+    default_code = "malformed"
--- a/src/monsoonline/ports.py
+++ b/src/monsoonline/ports.py
@@ -222,8 +222,21 @@
 class PeerNetwork(Protocol):
     """Membership and messages between entries."""
 
+    @property
+    def address(self) -> str:
+        """``host:port`` for peer messages."""
+
+    def start(self) -> None:
+        """Begin to exchange messages."""
+
+    def close(self) -> None:
+        """Stop without notice."""
+
     def members(self) -> tuple[Member, ...]:
-        """Return all known members, this entry included."""
+        """Return all known members, this entry first."""
+
+    def set_own(self, **changes) -> None:
+        """Announce ``ready``, ``leaving``, ``revision``, ``checksum``, ``address``."""
 
     def publish(self, kind: str, key: str, payload: bytes) -> None:
         """Spread a shared item to all members."""
@@ -241,3 +254,6 @@
 
     def serve(self, kind: str, handler) -> None:
         """Answer requests of a kind with ``handler(member_name, payload)``."""
+
+    def export(self) -> None:
+        """Copy counters into the metrics, before a scrape."""
