--- a/tests/core/test_configuration.py
+++ b/tests/core/test_configuration.py
@@ -41,7 +41,7 @@
         """Move the clock while every entry runs and hears gossip."""
         for _ in range(int(duration_ms // 1000)):
             self.clock.advance(1000.0)
-            for entry in self.network.entries.values():
+            for entry in self.network.configurations.values():
                 entry.tick()
                 entry.hear_contact()
 
@@ -66,10 +66,10 @@
         self.assertEqual(len({entry.checksum for entry in self.entries}), 1)
 
     def test_change_is_not_accepted_without_two_acknowledgements(self):
-        self.network.cut = set(NAMES[2:])
+        self.network.cut(*NAMES[2:])
         acceptance = self.edit_pool(self.entries[0], 4)
         self.assertEqual((acceptance.accepted, acceptance.acknowledgements), (False, 1))
-        self.network.cut = set()
+        self.network.cut()
         resent = self.entries[0].commit(acceptance.change.proposal)
         self.assertTrue(resent.accepted)
         self.assertEqual(resent.change.revision, acceptance.change.revision)
@@ -82,7 +82,7 @@
         self.assertEqual(acceptance.acknowledgements, 1)
 
     def test_entry_cut_from_peers_catches_up_from_the_store(self):
-        self.network.cut = {NAMES[4]}
+        self.network.cut(NAMES[4])
         for slots in (4, 5, 6):
             self.edit_pool(self.entries[0], slots)
         self.entries[4].poll()
@@ -138,7 +138,7 @@
         self.assertEqual(self.entries[4].checksum, self.entries[0].checksum)
         self.assertEqual(len(self.entries[4].tables.pools), 301)
         # Smaller chunks than in production show that parts are joined.
-        self.assertGreater(len(self.network.sizes), 10)
+        self.assertGreater(len(self.network.message_sizes), 10)
 
     def test_heard_revision_is_fetched_without_waiting_for_the_next_poll(self):
         with mock.patch.object(ConfigurationPeers, "offer", return_value=(0, 0)):
@@ -176,7 +176,7 @@
         delta = Delta(
             since=0, revision=1, checksum=old.checksum, ready=True, complete=False
         )
-        handler = self.network.handlers[self.entry._name][OFFER_KIND]
+        handler = self.network.handler(self.entry._name, OFFER_KIND)
         handler(NAMES[0], CODEC.encode(delta))
         self.entry.apply_rows(old, "peer")
         self.assert_unchanged()
@@ -191,11 +191,22 @@
 
     def test_restart_with_a_stale_read_takes_the_peers_revision(self):
         self.platform.set_faults("tables", stale=2)
-        self.network.gossip = False
+        self.network.set_gossip(False)
         (self.entry,) = self.deployment.start(NAMES[1])
         self.assertTrue(self.entry.ready)
         self.assert_unchanged()
 
+    def test_restart_with_a_stale_read_waits_for_a_revision_heard_by_gossip(self):
+        """Guards against readiness with an older revision while peers are silent."""
+        self.platform.set_faults("tables", stale=2)
+        self.network.cut(*NAMES)
+        (self.entry,) = self.deployment.start(NAMES[1])
+        self.assertFalse(self.entry.ready)
+        self.platform.set_faults("tables")
+        self.entry.poll()
+        self.assertTrue(self.entry.ready)
+        self.assert_unchanged()
+
     def test_restart_with_an_older_snapshot(self):
         content = RowSet.of_rows(self.old_rows()).encode()
         old = RowSet.decode(1, content)
@@ -233,25 +244,25 @@
 
     def test_three_silent_members_could_hold_an_accepted_change(self):
         """Guards against readiness while the only holders were not heard."""
-        self.network.cut = {NAMES[3]}
+        self.network.cut(NAMES[3])
         self.edit_pool(self.entries[0], 4)
         self.outage()
-        self.network.cut = set(NAMES[:3])
+        self.network.cut(*NAMES[:3])
         entry = self.restart()
         self.assertFalse(entry.ready)
         self.advance(60_000.0)
         entry.poll()
         self.assertFalse(entry.ready)
-        self.network.cut = set(NAMES[:2])
+        self.network.cut(*NAMES[:2])
         entry.poll()
         self.assertTrue(entry.ready)
         self.assertEqual(entry.revision, 2)
 
     def test_starting_members_count_as_unheard_until_a_change_has_spread(self):
         self.outage()
-        self.network.cut = set(NAMES)
+        self.network.cut(*NAMES)
         entries = self.deployment.start(*NAMES[2:])
-        self.network.cut = set()
+        self.network.cut()
         entries[0].poll()
         self.assertTrue(entries[0].ready)
         for entry in self.entries[:2]:
@@ -305,7 +316,7 @@
     def test_silence_of_ten_seconds_isolates_and_contact_ends_it(self):
         entry = self.entries[0]
         self.outage()
-        self.network.cut = set(NAMES)
+        self.network.cut(*NAMES)
         for _ in range(9):
             self.clock.advance(1000.0)
             entry.poll()
@@ -316,7 +327,7 @@
         self.assertTrue(entry.isolated)
         self.assertFalse(entry.ready)
         self.assertEqual(entry.revision, 1)
-        self.network.cut = set()
+        self.network.cut()
         entry.poll()
         self.assertTrue(entry.ready)
 
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -12,9 +12,10 @@
 from monsoonline.adapters.table_store import HttpTableStore
 from monsoonline.clock import ManualClock
 from monsoonline.core.configuration import Configuration
-from monsoonline.errors import PeerUnavailable, StoreUnavailable
+from monsoonline.errors import StoreUnavailable
 from monsoonline.metrics import Metrics
-from monsoonline.ports import Member, ProposedChange
+from monsoonline.ports import ProposedChange
+from monsoonline.standin.peers import PeerNetworkStandIn
 from monsoonline.standin.platform import PlatformStandIn
 from monsoonline.types import Request
 
@@ -89,61 +90,6 @@
         return answer.status, answer.body
 
 
-class MemoryNetwork:
-    """Peer messages by function calls, with entries that can be cut off."""
-
-    MESSAGE_LIMIT_BYTES = 1 << 20
-
-    def __init__(self):
-        self.entries = {}
-        self.handlers = {}
-        self.cut = set()
-        self.gossip = True
-        self.sizes = []
-
-    def port(self, name):
-        self.handlers[name] = {}
-        return MemoryPeers(self, name)
-
-    def request(self, sender, name, kind, payload):
-        if {sender, name} & self.cut:
-            raise PeerUnavailable(f"{name!r} does not reply")
-        reply = self.handlers[name][kind](sender, payload)
-        for content in (payload, reply):
-            self.sizes.append(len(content))
-            if len(content) > self.MESSAGE_LIMIT_BYTES:
-                raise AssertionError(f"message of {len(content)} bytes")
-        return reply
-
-
-class MemoryPeers:
-    """The PeerNetwork port of one entry."""
-
-    def __init__(self, network, name):
-        self.network = network
-        self.name = name
-
-    def members(self):
-        return tuple(
-            Member(
-                name=name,
-                incarnation=name,
-                address="",
-                peer_address="",
-                failure_domain="",
-                ready=entry.ready,
-                revision=entry.revision if self.network.gossip else 0,
-            )
-            for name, entry in self.network.entries.items()
-        )
-
-    def request(self, member, kind, payload, *, timeout_ms):
-        return self.network.request(self.name, member.name, kind, payload)
-
-    def serve(self, kind, handler):
-        self.network.handlers[self.name][kind] = handler
-
-
 class Deployment:
     """Entries' configurations over one stand-in platform and a manual clock."""
 
@@ -151,7 +97,7 @@
         self.clock = ManualClock()
         self.platform = PlatformStandIn()
         test.addCleanup(self.platform.close)
-        self.network = MemoryNetwork()
+        self.network = PeerNetworkStandIn()
         self.test = test
 
     def start(self, *names):
@@ -172,6 +118,6 @@
         )
         entry.metrics = client.metrics
         self.test.addCleanup(entry.close)
-        self.network.entries[name] = entry
+        self.network.attach(name, entry)
         entry.poll()
         return entry
