Test the VM list port and merge the tests of overtaken edits

Cause: the VM list adapter had no test; two tests overtook an edit between read and commit with the same code. The merged test fails without the version condition and without the condition on the pool, as the two did. Conclusion: the same faults are found with less code.

--- a/tests/adapters/test_table_store.py
+++ b/tests/adapters/test_table_store.py
@@ -6,6 +6,7 @@
 
 from monsoonline.adapters.object_store import HttpObjectStore
 from monsoonline.adapters.platform import PlatformClient, PlatformLimits, ResponseLost
+from monsoonline.adapters.vm_list import HttpVirtualMachineList
 from monsoonline.clock import SystemClock
 from monsoonline.errors import (
     CommitUnknown,
@@ -87,6 +88,22 @@
         states = {n: b.state for n, b in self.store._client.breakers.items()}
         self.assertEqual((states["objects"], states["tables"]), ("open", "closed"))
 
+    def test_machine_list_lags_and_fails_with_the_platform(self):
+        machine = {
+            "name": "vm-1",
+            "role": "entry",
+            "address": "127.0.0.1:1",
+            "failure_domain": "a",
+            "leaving": True,
+        }
+        machines = HttpVirtualMachineList(client=self.store._client)
+        self.platform.put_machines([machine])
+        self.assertTrue(machines.read()[0].leaving)
+        self.platform.set_faults("machines", stale=1)
+        self.assertEqual(machines.read(), ())
+        self.platform.set_faults("machines", outage=True)
+        self.assertRaises(StoreUnavailable, machines.read)
+
     def test_stale_read_is_detected_and_not_used(self):
         self.store.commit(edit("routes", "lookup", route_document()))
         self.platform.set_faults("tables", stale=1)
@@ -126,32 +143,25 @@
         bad = edit("pools", "new", pool_document(slots=0))
         self.assertRaises(FindingsError, self.store.commit, bad)
 
-    def test_pool_deleted_between_read_and_commit_refuses_the_route(self):
-        """Guards against a reference rule checked by a read before the write."""
-        departments = table_store(self.platform)
-        read_row = self.store._read_row
-
-        def read_then_lose_the_pool(*arguments, **options):
-            row = read_row(*arguments, **options)
-            departments.commit(edit("pools", "quotes", None, expected=1))
-            return row
-
-        with mock.patch.object(self.store, "_read_row", read_then_lose_the_pool):
-            self.refused(edit("routes", "lookup", route_document()), "missing-pool")
+    def test_edits_between_read_and_commit_are_seen_by_the_commit(self):
+        """Guards against rules checked only by a read before the transaction."""
+        pool = edit("pools", "quotes", pool_document(slots=8), expected=1)
+        self.overtake(edit("pools", "quotes", pool_document(slots=7), expected=1))
+        self.assertRaises(EditConflict, self.store.commit, pool)
+        self.overtake(edit("pools", "quotes", None, expected=2))
+        self.refused(edit("routes", "lookup", route_document()), "missing-pool")
 
-    def test_row_changed_between_read_and_commit_is_a_conflict(self):
-        """Guards against a version compared only before the transaction."""
-        other = table_store(self.platform)
+    def overtake(self, change):
+        """Let another client commit right after the store's next read of a row."""
         read_row = self.store._read_row
 
         def read_then_lose_the_race(*arguments, **options):
             row = read_row(*arguments, **options)
-            other.commit(edit("pools", "quotes", pool_document(slots=7), expected=1))
+            self.store._read_row = read_row
+            table_store(self.platform).commit(change)
             return row
 
-        change = edit("pools", "quotes", pool_document(slots=8), expected=1)
-        with mock.patch.object(self.store, "_read_row", read_then_lose_the_race):
-            self.assertRaises(EditConflict, self.store.commit, change)
+        self.store._read_row = read_then_lose_the_race
 
     def test_late_first_attempt_makes_a_refusal_uncertain(self):
         """Guards against "refused" for an edit that may still arrive and apply."""
--- a/tests/core/test_configuration.py
+++ b/tests/core/test_configuration.py
@@ -5,16 +5,15 @@
 import unittest
 from unittest import mock
 
+import orjson
+
 from monsoonline.adapters.configuration_codec import ConfigurationCodec
-from monsoonline.core.configuration_messages import (
-    OFFER_KIND,
-    Delta,
-    Whole,
-)
+from monsoonline.bench.configuration import changes_of
+from monsoonline.core.configuration_messages import OFFER_KIND, Delta
 from monsoonline.core.configuration_peers import ConfigurationPeers
 from monsoonline.core.rows import RowSet
 from monsoonline.errors import StoreUnavailable
-from tests.fixtures import Deployment, edit, pool_document, route_document
+from tests.fixtures import Deployment, edit, pool_document
 
 NAMES = ("entry-1", "entry-2", "entry-3", "entry-4", "entry-5")
 CODEC = ConfigurationCodec()
@@ -119,18 +118,10 @@
         return answer
 
     def test_design_size_moves_in_messages_below_one_mebibyte(self):
-        upstreams = [
-            {"address": f"10.0.{n}.1:{8000 + n}", "slots": 3} for n in range(16)
-        ]
-        for number in range(300):
-            pool = {"department": "sales", "upstreams": upstreams}
-            pool["upstreams"] = [
-                {**u, "address": f"10.{number % 250}.{n}.{number // 250}:8000"}
-                for n, u in enumerate(upstreams)
-            ]
-            self.platform.put_row("pools", f"pool-{number}", pool)
-            route = route_document(pool=f"pool-{number}")
-            self.platform.put_row("routes", f"route-{number}", route)
+        for change in changes_of(services=300, targets=16):
+            self.platform.put_row(
+                change.table, change.name, orjson.loads(change.content)
+            )
         self.entries[0].poll()
         self.outage()
         with mock.patch("monsoonline.core.configuration_peers.CHUNK_BYTES", 4096):
@@ -208,17 +199,7 @@
         self.assert_unchanged()
 
     def test_restart_with_an_older_snapshot(self):
-        content = RowSet.of_rows(self.old_rows()).encode()
-        old = RowSet.decode(1, content)
-        snapshot = Whole(
-            revision=1,
-            checksum=old.checksum,
-            total=len(content),
-            offset=0,
-            content=content,
-        )
-        target = "/v1/objects/configuration-snapshot"
-        self.entry._store._client.send_once("PUT", target, CODEC.encode(snapshot))
+        self.assertEqual(self.entry._snapshots.read().revision, 1)
         self.platform.set_faults("tables", outage=True)
         with mock.patch.object(ConfigurationPeers, "fetch_whole", return_value=None):
             (self.entry,) = self.deployment.start(NAMES[1])
