Keep a worker of the operations port free of slow edits

Cause: a request of the administration API may wait seconds for a slow store, and four of them would occupy all workers, so that /readyz and /metrics wait. Change: an entry serves at most three requests of the API at once and answers 503 "busy" beyond that. Conclusion: health checks are answered while the store is slow.

--- a/src/monsoonline/entry/administration.py
+++ b/src/monsoonline/entry/administration.py
@@ -7,6 +7,7 @@
 import os
 import re
 import secrets
+import threading
 import urllib.parse
 
 import orjson
@@ -34,6 +35,9 @@
 AUTHOR_LIMIT = 100
 KNOWN_METHODS = frozenset(method.value for method in http.HTTPMethod)
 RETRY_AFTER_SECONDS = "2"
+# A request may wait seconds for a slow store. The operations port has 4 workers, and
+# one must stay free for health checks and metrics.
+REQUESTS_AT_ONCE = 3
 ENVIRONMENT_PREFIX = "env:"
 REFUSAL_STATUSES = {
     "other-department": 403,
@@ -160,13 +164,14 @@
         self._tokens = dict(tokens)
         self._clock = clock
         self._metrics = metrics
+        self._slots = threading.BoundedSemaphore(REQUESTS_AT_ONCE)
 
     def handle(self, request):
         """Return the answer, or ``None`` for paths that are not of the API."""
         if not request.path.startswith("/v1/"):
             return None
         try:
-            answer = self._serve(request)
+            answer = self._serve_in_slot(request)
         except MonsoonlineError as error:
             answer = self._error_answer(error)
         self._metrics.count(
@@ -176,6 +181,19 @@
         )
         return answer
 
+    def _serve_in_slot(self, request):
+        if not self._slots.acquire(blocking=False):
+            raise ApiError(
+                f"this entry serves {REQUESTS_AT_ONCE} administration requests at once",
+                code="busy",
+                status=503,
+                headers=[("Retry-After", RETRY_AFTER_SECONDS)],
+            )
+        try:
+            return self._serve(request)
+        finally:
+            self._slots.release()
+
     def _serve(self, request):
         department = self._authenticate(request)
         parts = request.path.removeprefix("/v1/").split("/")
--- a/tests/entry/test_administration.py
+++ b/tests/entry/test_administration.py
@@ -7,8 +7,12 @@
 import orjson
 
 from monsoonline.adapters.platform import ResponseLost
-from monsoonline.entry.administration import Administration, resolve_tokens
-from monsoonline.errors import FindingsError
+from monsoonline.entry.administration import (
+    REQUESTS_AT_ONCE,
+    Administration,
+    resolve_tokens,
+)
+from monsoonline.errors import FindingsError, StoreUnavailable
 from monsoonline.types import Request
 from tests.fixtures import Deployment, pool_document, route_document
 
@@ -146,6 +150,29 @@
         self.assertEqual((status, document["source"]), (200, "in-effect"))
         self.assertEqual(document["rows"][0]["version"], 1)
 
+    def test_requests_that_wait_for_the_store_leave_a_worker_free(self):
+        """Guards against health checks that wait behind a slow store."""
+        answer = threading.Event()
+        self.addCleanup(answer.set)
+        waiting = threading.Barrier(REQUESTS_AT_ONCE + 1, timeout=5)
+
+        def read_slowly():
+            waiting.wait()
+            answer.wait(5.0)
+            raise StoreUnavailable("slow")
+
+        self.entries[0]._store.read_rows = read_slowly
+        with concurrent.futures.ThreadPoolExecutor() as executor:
+            calls = [
+                executor.submit(self.call, "GET", "/v1/pools")
+                for _ in range(REQUESTS_AT_ONCE)
+            ]
+            waiting.wait()
+            status, _, error = self.call("GET", "/v1/pools")
+            self.assertEqual((status, error["code"]), (503, "busy"))
+            answer.set()
+        self.assertEqual([call.result()[0] for call in calls], [200] * len(calls))
+
     def test_unresolved_commit_is_unknown_and_names_the_change(self):
         # Both the response and the look-ups by change id are lost.
         send = self.entries[0]._store._client.send_once
