Leave the library's stack addresses out of message errors

Cause: the text of a pycapnp error ends with a line of stack addresses. Change: errors of undecodable messages quote the first line only. Conclusion: errors are one line.

--- a/src/monsoonline/adapters/configuration_codec.py
+++ b/src/monsoonline/adapters/configuration_codec.py
@@ -42,7 +42,8 @@
             if kind is messages.Whole:
                 fields["content"] = bytes(fields["content"])
         except capnp.KjException as error:
-            raise ValueError(f"not a {kind.__name__} message: {error}") from error
+            reason = str(error).partition("\n")[0]
+            raise ValueError(f"not a {kind.__name__} message: {reason}") from error
         return kind(**fields)
 
     @staticmethod
