--- a/tests/core/test_configuration.py
+++ b/tests/core/test_configuration.py
@@ -5,16 +5,15 @@
 import unittest
 from unittest import mock
 
+import orjson
+
 from monsoonline.adapters.configuration_codec import ConfigurationCodec
-from monsoonline.core.configuration_messages import (
-    OFFER_KIND,
-    Delta,
-    Whole,
-)
+from monsoonline.bench.configuration import changes_of
+from monsoonline.core.configuration_messages import OFFER_KIND, Delta
 from monsoonline.core.configuration_peers import ConfigurationPeers
 from monsoonline.core.rows import RowSet
 from monsoonline.errors import StoreUnavailable
-from tests.fixtures import Deployment, edit, pool_document, route_document
+from tests.fixtures import Deployment, edit, pool_document
 
 NAMES = ("entry-1", "entry-2", "entry-3", "entry-4", "entry-5")
 CODEC = ConfigurationCodec()
@@ -41,7 +40,7 @@
         """Move the clock while every entry runs and hears gossip."""
         for _ in range(int(duration_ms // 1000)):
             self.clock.advance(1000.0)
-            for entry in self.network.entries.values():
+            for entry in self.network.configurations.values():
                 entry.tick()
                 entry.hear_contact()
 
@@ -66,10 +65,10 @@
         self.assertEqual(len({entry.checksum for entry in self.entries}), 1)
 
     def test_change_is_not_accepted_without_two_acknowledgements(self):
-        self.network.cut = set(NAMES[2:])
+        self.network.cut(*NAMES[2:])
         acceptance = self.edit_pool(self.entries[0], 4)
         self.assertEqual((acceptance.accepted, acceptance.acknowledgements), (False, 1))
-        self.network.cut = set()
+        self.network.cut()
         resent = self.entries[0].commit(acceptance.change.proposal)
         self.assertTrue(resent.accepted)
         self.assertEqual(resent.change.revision, acceptance.change.revision)
@@ -82,7 +81,7 @@
         self.assertEqual(acceptance.acknowledgements, 1)
 
     def test_entry_cut_from_peers_catches_up_from_the_store(self):
-        self.network.cut = {NAMES[4]}
+        self.network.cut(NAMES[4])
         for slots in (4, 5, 6):
             self.edit_pool(self.entries[0], slots)
         self.entries[4].poll()
@@ -119,18 +118,10 @@
         return answer
 
     def test_design_size_moves_in_messages_below_one_mebibyte(self):
-        upstreams = [
-            {"address": f"10.0.{n}.1:{8000 + n}", "slots": 3} for n in range(16)
-        ]
-        for number in range(300):
-            pool = {"department": "sales", "upstreams": upstreams}
-            pool["upstreams"] = [
-                {**u, "address": f"10.{number % 250}.{n}.{number // 250}:8000"}
-                for n, u in enumerate(upstreams)
-            ]
-            self.platform.put_row("pools", f"pool-{number}", pool)
-            route = route_document(pool=f"pool-{number}")
-            self.platform.put_row("routes", f"route-{number}", route)
+        for change in changes_of(services=300, targets=16):
+            self.platform.put_row(
+                change.table, change.name, orjson.loads(change.content)
+            )
         self.entries[0].poll()
         self.outage()
         with mock.patch("monsoonline.core.configuration_peers.CHUNK_BYTES", 4096):
@@ -138,7 +129,7 @@
         self.assertEqual(self.entries[4].checksum, self.entries[0].checksum)
         self.assertEqual(len(self.entries[4].tables.pools), 301)
         # Smaller chunks than in production show that parts are joined.
-        self.assertGreater(len(self.network.sizes), 10)
+        self.assertGreater(len(self.network.message_sizes), 10)
 
     def test_heard_revision_is_fetched_without_waiting_for_the_next_poll(self):
         with mock.patch.object(ConfigurationPeers, "offer", return_value=(0, 0)):
@@ -176,7 +167,7 @@
         delta = Delta(
             since=0, revision=1, checksum=old.checksum, ready=True, complete=False
         )
-        handler = self.network.handlers[self.entry._name][OFFER_KIND]
+        handler = self.network.handler(self.entry._name, OFFER_KIND)
         handler(NAMES[0], CODEC.encode(delta))
         self.entry.apply_rows(old, "peer")
         self.assert_unchanged()
@@ -191,23 +182,24 @@
 
     def test_restart_with_a_stale_read_takes_the_peers_revision(self):
         self.platform.set_faults("tables", stale=2)
-        self.network.gossip = False
+        self.network.set_gossip(False)
+        (self.entry,) = self.deployment.start(NAMES[1])
+        self.assertTrue(self.entry.ready)
+        self.assert_unchanged()
+
+    def test_restart_with_a_stale_read_waits_for_a_revision_heard_by_gossip(self):
+        """Guards against readiness with an older revision while peers are silent."""
+        self.platform.set_faults("tables", stale=2)
+        self.network.cut(*NAMES)
         (self.entry,) = self.deployment.start(NAMES[1])
+        self.assertFalse(self.entry.ready)
+        self.platform.set_faults("tables")
+        self.entry.poll()
         self.assertTrue(self.entry.ready)
         self.assert_unchanged()
 
     def test_restart_with_an_older_snapshot(self):
-        content = RowSet.of_rows(self.old_rows()).encode()
-        old = RowSet.decode(1, content)
-        snapshot = Whole(
-            revision=1,
-            checksum=old.checksum,
-            total=len(content),
-            offset=0,
-            content=content,
-        )
-        target = "/v1/objects/configuration-snapshot"
-        self.entry._store._client.send_once("PUT", target, CODEC.encode(snapshot))
+        self.assertEqual(self.entry._snapshots.read().revision, 1)
         self.platform.set_faults("tables", outage=True)
         with mock.patch.object(ConfigurationPeers, "fetch_whole", return_value=None):
             (self.entry,) = self.deployment.start(NAMES[1])
@@ -233,28 +225,28 @@
 
     def test_a_silent_member_could_hold_an_accepted_change(self):
         """Guards against readiness while the only holders were not heard."""
-        self.network.cut = {NAMES[3]}
+        self.network.cut(NAMES[3])
         self.edit_pool(self.entries[0], 4)
         self.outage()
-        self.network.cut = set(NAMES[:3])
+        self.network.cut(*NAMES[:3])
         entry = self.restart()
         self.assertFalse(entry.ready)
         self.advance(60_000.0)
         entry.poll()
         self.assertFalse(entry.ready)
-        self.network.cut = set(NAMES[:1])
+        self.network.cut(NAMES[0])
         entry.poll()
         self.assertFalse(entry.ready)
-        self.network.cut = set()
+        self.network.cut()
         entry.poll()
         self.assertTrue(entry.ready)
         self.assertEqual(entry.revision, 2)
 
     def test_starting_members_count_as_unheard_until_a_change_has_spread(self):
         self.outage()
-        self.network.cut = set(NAMES)
+        self.network.cut(*NAMES)
         entries = self.deployment.start(*NAMES[2:])
-        self.network.cut = set()
+        self.network.cut()
         entries[0].poll()
         self.assertFalse(entries[0].ready)
         self.advance(11_000.0)
@@ -301,7 +293,7 @@
     def test_silence_of_ten_seconds_isolates_and_contact_ends_it(self):
         entry = self.entries[0]
         self.outage()
-        self.network.cut = set(NAMES)
+        self.network.cut(*NAMES)
         for _ in range(9):
             self.clock.advance(1000.0)
             entry.poll()
@@ -312,7 +304,7 @@
         self.assertTrue(entry.isolated)
         self.assertFalse(entry.ready)
         self.assertEqual(entry.revision, 1)
-        self.network.cut = set()
+        self.network.cut()
         entry.poll()
         self.assertTrue(entry.ready)
 
