--- a/src/monsoonline/bench/experiment.py
+++ b/src/monsoonline/bench/experiment.py
@@ -19,6 +19,7 @@
 DEFAULT_POLICY = "adaptive"
 WARM_MEMBERSHIP_MS = 12_000.0
 PLANNING_MS = 100.0
+UNLIMITED = 1_000_000
 NOT_RUN_KINDS = frozenset((AttemptKind.CONNECT_FAILED, AttemptKind.SHED))
 # Distinct requests among the ordinary traffic of a run with a crashing request.
 COMMON_REQUESTS = 200
@@ -264,7 +265,10 @@
                     address=upstream.address,
                     failure_domain=upstream.failure_domain,
                     slots=upstream.slots,
-                    queue_limit=limits[name],
+                    # The oracle waits at its slot; a shed request would lose it.
+                    queue_limit=(
+                        UNLIMITED if document.policy == ORACLE else limits[name]
+                    ),
                     restart_ms=restart,
                 )
                 for upstream in pool.upstreams
@@ -362,7 +366,7 @@
             return
         self._settle(call, ticket)
 
-    def _enqueue(self, call, notify):
+    def _enqueue(self, call, notify, *, attempts=None):
         if self._oracle is not None:
             upstream = self._oracle.choose(
                 call.route.pool,
@@ -378,7 +382,7 @@
             deadline=call.deadline,
             excluded=call.excluded,
             fingerprint=call.fingerprint,
-            attempts=call.tries,
+            attempts=call.tries if attempts is None else attempts,
             notify=notify,
         )
 
@@ -428,9 +432,20 @@
             return
         if not call.entry.dispatcher.may_hedge(call.route):
             return
-        # A hedge that would wait in a queue is worth nothing.
         call.excluded |= {attempt.upstream.address}
-        ticket = self._enqueue(call, lambda: None)
+        self._send_hedge(call)
+
+    def _place_hedge(self, call, kind):
+        """Send a hedge that its upstream refused to another one."""
+        result = AttemptResult(kind=kind, latency_ms=0.0)
+        if call.entry.dispatcher.may_retry(
+            call.route, attempts=call.tries, result=result
+        ):
+            self._send_hedge(call)
+
+    def _send_hedge(self, call):
+        # A hedge that would wait in a queue is worth nothing.
+        ticket = self._enqueue(call, lambda: None, attempts=1)
         if ticket.state is TicketState.WAITING:
             call.entry.dispatcher.expire(ticket)
         if ticket.state is TicketState.GRANTED:
@@ -445,6 +460,8 @@
             return
         if kind is AttemptKind.SUCCEEDED:
             self._end(call, "ok")
+        elif kind is AttemptKind.SHED and call.open == 1:
+            self._place_hedge(call, kind)
         elif not call.open:
             self._retry(call, attempt, kind)
 
--- a/src/monsoonline/core/load_view.py
+++ b/src/monsoonline/core/load_view.py
@@ -19,6 +19,7 @@
 # A slow spell lasts 100 ms to 1 s; an old observation of it must not outlive it.
 SPEED_LIFETIME_MS = 500.0
 SPEED_WEIGHT = 0.5
+MAX_UNANSWERED = 5
 MEAN_WEIGHT = 0.02
 INITIAL_LATENCY_MS = 20.0
 RECENT_REPORTS = 16
@@ -50,6 +51,7 @@
         "slots",
         "speed",
         "speed_at",
+        "unanswered",
         "upstream",
     )
 
@@ -66,6 +68,7 @@
         self.speed = 1.0
         self.speed_at = -math.inf
         self.position = -1
+        self.unanswered = 0
 
     @property
     def address(self):
@@ -185,9 +188,8 @@
         load = (state.in_flight + others + 1.0) / state.slots
         speed = state.speed
         if speed != 1.0:
-            speed = 1.0 + (speed - 1.0) * math.exp(
-                -(now - state.speed_at) / SPEED_LIFETIME_MS
-            )
+            lifetime = SPEED_LIFETIME_MS * 2.0**state.unanswered
+            speed = 1.0 + (speed - 1.0) * math.exp(-(now - state.speed_at) / lifetime)
         penalty = state.health.penalty
         if penalty:
             load += state.health.penalty_at(now)
@@ -237,12 +239,18 @@
     def _learn_latency(self, state, result, now):
         latency = result.latency_ms
         if result.kind in LATENCY_KINDS:
+            state.unanswered = 0
             mean = self._mean_latency
             self._mean_latency = (
                 latency if mean is None else mean + MEAN_WEIGHT * (latency - mean)
             )
         elif result.kind not in LOWER_BOUND_KINDS or latency < self.mean_latency_ms:
             return
+        else:
+            # A silent server shows only by attempts that others overtook, so each
+            # further one keeps requests away for longer.
+            state.unanswered = min(state.unanswered + 1, MAX_UNANSWERED)
+            latency *= 1.0 + state.unanswered
         age = now - state.speed_at
         old = 1.0 + (state.speed - 1.0) * math.exp(-age / SPEED_LIFETIME_MS)
         ratio = latency / self.mean_latency_ms
