Trust single answers less and overtaken attempts more in the speed estimate

Cause: service times vary by a factor of two from request to request, so one slow answer kept requests away from fast upstreams.

Change: an answer moves the speed estimate by 0.1 instead of 0.5, an overtaken attempt by 0.8; reports live for two mean latencies instead of one.

--- a/src/monsoonline/core/load_view.py
+++ b/src/monsoonline/core/load_view.py
@@ -15,10 +15,13 @@
 
 # A slot is reused after about one service time, so a report is worth little after
 # two of them; the scale follows the measured latency of the pool.
-REPORT_LIFETIME_SHARE = 1.0
+REPORT_LIFETIME_SHARE = 2.0
 # A slow spell lasts 100 ms to 1 s; an old observation of it must not outlive it.
 SPEED_LIFETIME_MS = 500.0
-SPEED_WEIGHT = 0.5
+# One answer says little of the server's speed, since service times vary; an attempt
+# that another one overtook says more.
+SPEED_WEIGHT = 0.1
+OVERTAKEN_WEIGHT = 0.8
 MAX_UNANSWERED = 5
 MEAN_WEIGHT = 0.02
 INITIAL_LATENCY_MS = 20.0
@@ -238,6 +241,7 @@
 
     def _learn_latency(self, state, result, now):
         latency = result.latency_ms
+        weight = SPEED_WEIGHT
         if result.kind in LATENCY_KINDS:
             state.unanswered = 0
             mean = self._mean_latency
@@ -250,11 +254,12 @@
             # A silent server shows only by attempts that others overtook, so each
             # further one keeps requests away for longer.
             state.unanswered = min(state.unanswered + 1, MAX_UNANSWERED)
-            latency *= 1.0 + state.unanswered
+            latency *= state.unanswered**2
+            weight = OVERTAKEN_WEIGHT
         age = now - state.speed_at
         old = 1.0 + (state.speed - 1.0) * math.exp(-age / SPEED_LIFETIME_MS)
         ratio = latency / self.mean_latency_ms
-        state.speed = old + SPEED_WEIGHT * (ratio - old)
+        state.speed = old + weight * (ratio - old)
         state.speed_at = now
 
     def _is_member(self, state):
