--- /dev/null
+++ b/tests/core/test_crashes.py
@@ -0,0 +1,112 @@
+"""Tests of requests that crash upstreams."""
+
+import itertools
+import unittest
+
+from monsoonline.clock import ManualClock
+from monsoonline.core.crashes import CrashReport, CrashTracker
+from monsoonline.errors import Refusal
+from monsoonline.types import AttemptKind
+from tests.core.decision_fixtures import (
+    make_dispatcher,
+    make_pool,
+    make_route,
+    result_of,
+)
+
+
+class TestCrashTracker(unittest.TestCase):
+    """Counting crashes per fingerprint."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.trackers = [
+            CrashTracker(clock=self.clock, owner=f"entry-{i}") for i in range(3)
+        ]
+
+    def crash(self, tracker, address, fingerprint):
+        tracker.started(address, fingerprint)
+        tracker.connection_lost(address, fingerprint)
+
+    def share(self, tracker):
+        for report in tracker.take_reports():
+            payload = report.encode()
+            self.assertLessEqual(len(payload), 512)
+            for other in self.trackers:
+                if other is not tracker:
+                    other.observe(CrashReport.decode(payload))
+
+    def test_two_crashes_seen_by_different_entries_block_everywhere(self):
+        first, second, third = self.trackers
+        self.crash(first, "a:1", "bad")
+        self.share(first)
+        self.assertFalse(third.blocked("bad"))
+        self.crash(second, "b:1", "bad")
+        self.share(second)
+        self.assertTrue(all(t.blocked("bad") for t in self.trackers))
+
+    def test_merging_is_idempotent_and_independent_of_order(self):
+        """Gossip repeats items and delivers them in any order."""
+        reports = [
+            CrashReport(fingerprint="f", incidents=["1"]),
+            CrashReport(fingerprint="f", incidents=["2"]),
+            CrashReport(fingerprint="f", incidents=["1"], cleared=["1"]),
+        ]
+        for order in itertools.permutations(reports):
+            tracker = CrashTracker(clock=self.clock, owner="x")
+            for report in (*order, *order):
+                tracker.observe(report)
+            self.assertFalse(tracker.blocked("f"))
+            self.assertTrue(tracker.suspected("f"))
+
+    def test_lost_connections_of_one_crash_count_once(self):
+        tracker = self.trackers[0]
+        for _ in range(3):
+            tracker.started("a:1", "f")
+        for _ in range(3):
+            tracker.connection_lost("a:1", "f")
+        self.assertFalse(tracker.blocked("f"))
+
+    def test_common_request_at_unrelated_crashes_is_not_blocked(self):
+        """A request that completes between crashes is no cause of them."""
+        first = self.trackers[0]
+        for number in range(5):
+            self.crash(first, f"a:{number}", "common")
+            self.share(first)
+            first.started("b:1", "common")
+            first.finished("b:1", "common", completed=True)
+            self.share(first)
+            self.clock.advance(120_000.0)
+        self.assertFalse(any(t.blocked("common") for t in self.trackers))
+
+    def test_a_block_ends_after_its_time(self):
+        tracker = self.trackers[0]
+        self.crash(tracker, "a:1", "f")
+        self.crash(tracker, "b:1", "f")
+        self.assertTrue(tracker.blocked("f"))
+        self.clock.advance(600_001.0)
+        self.assertFalse(tracker.blocked("f"))
+
+    def test_malformed_report_is_refused(self):
+        for payload in (b"", b"[]", b'{"fingerprint": 1}', b"\xff"):
+            with self.assertRaises(ValueError):
+                CrashReport.decode(payload)
+
+
+class TestBlockedRequest(unittest.TestCase):
+    """The dispatcher refuses a crashing request."""
+
+    def test_request_is_refused_as_not_run_after_two_crashes(self):
+        dispatcher = make_dispatcher(make_pool(targets=6))
+        route = make_route()
+        for _ in range(2):
+            assignment = dispatcher.acquire(
+                route, deadline=1_000.0, fingerprint="crashing"
+            )
+            dispatcher.release(assignment, result_of(AttemptKind.CONNECTION_LOST))
+            self.assertGreater(dispatcher.hold_ms("crashing"), 0.0)
+        with self.assertRaises(Refusal) as caught:
+            dispatcher.acquire(route, deadline=1_000.0, fingerprint="crashing")
+        self.assertEqual(caught.exception.code, "crashing-request")
+        dispatcher.acquire(route, deadline=1_000.0, fingerprint="other")
+        self.assertEqual(dispatcher.hold_ms("other"), 0.0)
--- /dev/null
+++ b/tests/core/test_probing.py
@@ -0,0 +1,110 @@
+"""Tests of the measuring budget, counted at a fake upstream."""
+
+import collections
+import unittest
+
+import numpy as np
+
+from monsoonline.core.model import MeasuringBudget
+from monsoonline.core.probing import ProbePlanner, probe_interval_ms
+from tests.core.decision_fixtures import make_pool
+
+STEP_MS = 100.0
+
+
+class TestProbeInterval(unittest.TestCase):
+    """The least time between two probes."""
+
+    def test_the_smaller_of_both_limits_counts(self):
+        rate = MeasuringBudget(probes_per_second=2.0, slot_share=1.0)
+        share = MeasuringBudget(probes_per_second=1e6, slot_share=0.002)
+        self.assertGreater(probe_interval_ms(rate, slots=3), 500.0)
+        self.assertGreater(probe_interval_ms(share, slots=1), 1_000.0)
+        none = MeasuringBudget(probes_per_second=0.0)
+        self.assertEqual(probe_interval_ms(none, slots=3), float("inf"))
+
+
+class TestProbePlanner(unittest.TestCase):
+    """Several entries with differing views share one budget."""
+
+    def setUp(self):
+        self.pool = make_pool(
+            targets=5, measuring=MeasuringBudget(probes_per_second=2.0, slot_share=1.0)
+        )
+        self.planners = {}
+        self.paused = set()
+        self.probes = collections.defaultdict(list)
+        self.now = 0.0
+
+    def start(self, *names):
+        for name in names:
+            self.planners[name] = ProbePlanner(owner=name, pool=self.pool, now=self.now)
+
+    def run_for(self, duration_ms, view=None):
+        """Run all planners; ``view(name)`` is what an entry hears from."""
+        end = self.now + duration_ms
+        while self.now < end:
+            self.now += STEP_MS
+            for name, planner in self.planners.items():
+                if name in self.paused:
+                    continue
+                heard = view(name) if view else set(self.planners) - self.paused
+                planner.observe_members(heard, self.now)
+                for upstream in planner.due(self.now):
+                    self.probes[upstream.address].append(self.now)
+
+    def assert_within_budget(self):
+        for times in self.probes.values():
+            times = np.array(times)
+            ends = np.searchsorted(times, times + 1_000.0, side="left")
+            self.assertLessEqual(int(np.max(ends - np.arange(len(times)))), 2)
+
+    def test_each_upstream_is_probed_at_its_rate(self):
+        self.start("a", "b", "c")
+        self.run_for(30_000.0)
+        self.assertEqual(len(self.probes), 5)
+        for times in self.probes.values():
+            self.assertGreater(len(times), 30)
+        self.assert_within_budget()
+
+    def test_budget_holds_while_entries_join_leave_and_restart(self):
+        self.start("a", "b", "c")
+        self.run_for(15_000.0)
+        for round_number in range(4):
+            self.start(f"new-{round_number}")
+            self.run_for(12_000.0)
+            self.planners.pop(sorted(self.planners)[0])
+            self.start("c")
+            self.run_for(12_000.0)
+        self.assertGreater(sum(map(len, self.probes.values())), 100)
+        self.assert_within_budget()
+
+    def test_only_one_side_of_a_partition_probes(self):
+        self.start("a", "b", "c", "d", "e")
+        self.run_for(15_000.0)
+        sides = ({"a", "b"}, {"c", "d", "e"})
+        split_at = self.now
+        self.run_for(
+            40_000.0, view=lambda name: sides[0] if name in sides[0] else sides[1]
+        )
+        self.assert_within_budget()
+        self.assertTrue(any(t[-1] > split_at + 30_000.0 for t in self.probes.values()))
+
+    def test_an_entry_that_lost_all_contact_stops(self):
+        self.start("a", "b", "c")
+        self.run_for(15_000.0)
+        self.probes.clear()
+        self.run_for(20_000.0, view=lambda name: {name})
+        self.assertEqual(sum(map(len, self.probes.values())), 0)
+
+    def test_paused_entry_does_not_probe_when_it_resumes(self):
+        """Its former upstreams have another owner by then."""
+        self.start("a", "b", "c")
+        self.run_for(15_000.0)
+        self.paused.add("a")
+        self.run_for(20_000.0)
+        self.paused.clear()
+        planner = self.planners["a"]
+        self.assertEqual(planner.due(self.now + STEP_MS), ())
+        self.run_for(15_000.0)
+        self.assert_within_budget()
