Test the measuring budget with lagging views and paused owners

Cause: with HOLD_MS set to 0, or without the check for pauses, the tests still passed.

Change: entries see members with different lags, and the paused entry is one that owns upstreams.

Conclusion: each of three mutations (no wait, no majority, no pause check) now fails at least one test.

--- a/src/monsoonline/core/probing.py
+++ b/src/monsoonline/core/probing.py
@@ -71,6 +71,11 @@
         self._owned_since = {}
         self._due = {}
 
+    @property
+    def owned(self):
+        """Addresses that this entry owns or waits to own."""
+        return frozenset(self._owned_since)
+
     def update(self, pool):
         """Use a changed pool; probing of new upstreams starts after the wait."""
         self._pool = pool
@@ -96,9 +101,8 @@
             self._known.pop(name, None)
         for name in [n for n, t in self._known.items() if now - t > MEMBER_MEMORY_MS]:
             del self._known[name]
-        quorate = len(self._alive) >= MIN_MEMBERS and 2 * len(self._alive) > len(
-            self._known
-        )
+        count = len(self._alive)
+        quorate = count >= MIN_MEMBERS and 2 * count > len(self._known)
         if not quorate:
             self._restart()
             return
--- a/tests/core/test_probing.py
+++ b/tests/core/test_probing.py
@@ -35,6 +35,7 @@
         self.paused = set()
         self.probes = collections.defaultdict(list)
         self.now = 0.0
+        self.history = []
 
     def start(self, *names):
         for name in names:
@@ -53,6 +54,16 @@
                 for upstream in planner.due(self.now):
                     self.probes[upstream.address].append(self.now)
 
+    def lagging_view(self, name):
+        """Return the members as of up to 4 s ago, another lag for each entry."""
+        lag_ms = 1_000.0 * (sum(name.encode()) % 5)
+        self.history.append((self.now, frozenset(self.planners)))
+        seen = {name}
+        for time, members in reversed(self.history):
+            if time <= self.now - lag_ms:
+                return seen | members
+        return seen
+
     def assert_within_budget(self):
         for times in self.probes.values():
             times = np.array(times)
@@ -68,14 +79,15 @@
         self.assert_within_budget()
 
     def test_budget_holds_while_entries_join_leave_and_restart(self):
+        """Entries learn of each change at different times."""
         self.start("a", "b", "c")
-        self.run_for(15_000.0)
+        self.run_for(18_000.0, view=self.lagging_view)
         for round_number in range(4):
             self.start(f"new-{round_number}")
-            self.run_for(12_000.0)
+            self.run_for(16_000.0, view=self.lagging_view)
             self.planners.pop(sorted(self.planners)[0])
             self.start("c")
-            self.run_for(12_000.0)
+            self.run_for(16_000.0, view=self.lagging_view)
         self.assertGreater(sum(map(len, self.probes.values())), 100)
         self.assert_within_budget()
 
@@ -101,10 +113,11 @@
         """Its former upstreams have another owner by then."""
         self.start("a", "b", "c")
         self.run_for(15_000.0)
-        self.paused.add("a")
+        owner = next(n for n, p in self.planners.items() if p.owned)
+        self.paused.add(owner)
         self.run_for(20_000.0)
         self.paused.clear()
-        planner = self.planners["a"]
+        planner = self.planners[owner]
         self.assertEqual(planner.due(self.now + STEP_MS), ())
         self.run_for(15_000.0)
         self.assert_within_budget()
