--- a/src/monsoonline/core/load_view.py
+++ b/src/monsoonline/core/load_view.py
@@ -15,10 +15,14 @@
 
 # A slot is reused after about one service time, so a report is worth little after
 # two of them; the scale follows the measured latency of the pool.
-REPORT_LIFETIME_SHARE = 1.0
+REPORT_LIFETIME_SHARE = 2.0
 # A slow spell lasts 100 ms to 1 s; an old observation of it must not outlive it.
 SPEED_LIFETIME_MS = 500.0
-SPEED_WEIGHT = 0.5
+# One answer says little of the server's speed, since service times vary; an attempt
+# that another one overtook says more.
+SPEED_WEIGHT = 0.1
+OVERTAKEN_WEIGHT = 0.8
+MAX_UNANSWERED = 5
 MEAN_WEIGHT = 0.02
 INITIAL_LATENCY_MS = 20.0
 RECENT_REPORTS = 16
@@ -50,6 +54,7 @@
         "slots",
         "speed",
         "speed_at",
+        "unanswered",
         "upstream",
     )
 
@@ -66,6 +71,7 @@
         self.speed = 1.0
         self.speed_at = -math.inf
         self.position = -1
+        self.unanswered = 0
 
     @property
     def address(self):
@@ -185,9 +191,8 @@
         load = (state.in_flight + others + 1.0) / state.slots
         speed = state.speed
         if speed != 1.0:
-            speed = 1.0 + (speed - 1.0) * math.exp(
-                -(now - state.speed_at) / SPEED_LIFETIME_MS
-            )
+            lifetime = SPEED_LIFETIME_MS * 2.0**state.unanswered
+            speed = 1.0 + (speed - 1.0) * math.exp(-(now - state.speed_at) / lifetime)
         penalty = state.health.penalty
         if penalty:
             load += state.health.penalty_at(now)
@@ -236,17 +241,25 @@
 
     def _learn_latency(self, state, result, now):
         latency = result.latency_ms
+        weight = SPEED_WEIGHT
         if result.kind in LATENCY_KINDS:
+            state.unanswered = 0
             mean = self._mean_latency
             self._mean_latency = (
                 latency if mean is None else mean + MEAN_WEIGHT * (latency - mean)
             )
         elif result.kind not in LOWER_BOUND_KINDS or latency < self.mean_latency_ms:
             return
+        else:
+            # A silent server shows only by attempts that others overtook, so each
+            # further one keeps requests away for longer.
+            state.unanswered = min(state.unanswered + 1, MAX_UNANSWERED)
+            latency *= state.unanswered**2
+            weight = OVERTAKEN_WEIGHT
         age = now - state.speed_at
         old = 1.0 + (state.speed - 1.0) * math.exp(-age / SPEED_LIFETIME_MS)
         ratio = latency / self.mean_latency_ms
-        state.speed = old + SPEED_WEIGHT * (ratio - old)
+        state.speed = old + weight * (ratio - old)
         state.speed_at = now
 
     def _is_member(self, state):
