Spare worker threads from silent owners and publish pauses at once

Cause: each resend of a paused owner's key held a worker for 500 ms; a paused entry's own discovery answers used the state it had published before; an answer on its way at the start of draining could leave its connection open until the limit. Change: a member that let a full query timeout pass is not asked for 1 s; an entry's own member row is always current and published on a pause; idle connections are closed repeatedly while draining. Figures: 4 resends of a silent owner's keys ask it twice instead of 4 times. Conclusion: such resends get "unknown", which is true, without the wait.

--- a/src/monsoonline/entry/keys.py
+++ b/src/monsoonline/entry/keys.py
@@ -45,6 +45,9 @@
 HOLDERS = 2
 # Bounds the notices of handovers: 370 replacements a day give 3 within retention.
 MAX_NOTICES = 1024
+# After a member did not reply it is not asked for this time, so that resends of a
+# paused owner's keys do not hold all worker threads for QUERY_TIMEOUT_MS each.
+SILENCE_MS = 1000.0
 UNDECIDED = KeyStatus(state=KeyState.UNDECIDED)
 
 logger = logging.getLogger(__name__)
@@ -85,6 +88,7 @@
         self._metrics = metrics
         self._adopted = adopted or AdoptedRecords(clock=clock)
         self._holders = {}
+        self._silent_until = {}
         self._lock = threading.Lock()
         if peers is not None:
             peers.serve(QUERY_KIND, self._serve_query)
@@ -200,14 +204,30 @@
         return UNDECIDED
 
     def _request_status(self, member, payload, remaining_ms):
+        if self._clock.now() < self._silent_until.get(
+            member.incarnation, float("-inf")
+        ):
+            return UNDECIDED
         timeout_ms = min(QUERY_TIMEOUT_MS, remaining_ms)
         try:
-            return decode_reply(
-                self._peers.request(member, QUERY_KIND, payload, timeout_ms=timeout_ms)
+            reply = self._peers.request(
+                member, QUERY_KIND, payload, timeout_ms=timeout_ms
             )
+            return decode_reply(reply)
         except (MonsoonlineError, OSError):
+            # A caller's short deadline says nothing about the member.
+            if timeout_ms == QUERY_TIMEOUT_MS:
+                self._note_silence(member.incarnation)
             return UNDECIDED
 
+    def _note_silence(self, incarnation):
+        now = self._clock.now()
+        with self._lock:
+            ended = [i for i, end in self._silent_until.items() if end <= now]
+            for other in ended:
+                del self._silent_until[other]
+            self._silent_until[incarnation] = now + SILENCE_MS
+
     def _serve_query(self, _member_name, payload):
         query = decode_query(payload)
         if parse_key(query.key).incarnation == self._ledger.incarnation:
--- a/src/monsoonline/entry/lifecycle.py
+++ b/src/monsoonline/entry/lifecycle.py
@@ -240,14 +240,13 @@
         self._server.close_after_answer()
         idle_end = min(limit, self._clock.now() + self._times.idle_ms)
         self._wait(lambda: self._server.open_connections == 0, idle_end)
+        self._wait(self._is_drained, limit)
+
+    def _is_drained(self):
+        # Repeated, since an answer that was on its way when last answers began to be
+        # marked leaves its connection open.
         self._server.close_idle()
-        self._wait(
-            lambda: (
-                self._server.open_connections == 0
-                and self._server.requests_in_flight == 0
-            ),
-            limit,
-        )
+        return not (self._server.open_connections or self._server.requests_in_flight)
 
     def _enter(self, state):
         self._state = state
--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -48,7 +48,9 @@
         self._clock = clock or SystemClock()
         self._metrics = Metrics()
         self._peers = None
-        self._detector = PauseDetector(clock=self._clock)
+        self._detector = PauseDetector(
+            clock=self._clock, on_pause=lambda gap_ms: self._publish_state()
+        )
         self._callers = HttpServer(
             handler=self._handle_caller,
             host=settings.callers.host,
@@ -133,7 +135,9 @@
         """Return the members that this entry knows."""
         if self._peers is None:
             return (self._own_member(),)
-        return self._peers.members()
+        own = self._own_member()
+        others = self._peers.members()
+        return (own, *(m for m in others if m.incarnation != own.incarnation))
 
     def _own_member(self):
         leaving = self.state not in (EntryState.STARTING, EntryState.READY)
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -133,6 +133,23 @@
         self.resume(self.owner)
         self.assertIsNone(self.owner.begin(key))
 
+    def test_silent_owner_is_not_asked_by_every_resend(self):
+        """Resends of a paused owner's keys would hold all worker threads."""
+        self.pause(self.owner)
+        asked = []
+        request = self.second.peers.request
+
+        def count(member, kind, payload, *, timeout_ms):
+            asked.append(kind)
+            return request(member, kind, payload, timeout_ms=timeout_ms)
+
+        self.second.peers.request = count
+        for wait_ms in (100.0, 600.0, 600.0, 100.0):
+            result = self.second.begin(self.owner.key(), wait_ms=wait_ms)
+            self.assertEqual(result, UNREACHABLE)
+        # The first had too short a deadline to tell that the owner is silent.
+        self.assertEqual(len(asked), 2)
+
     def test_killed_owner_leaves_the_outcome_unknown(self):
         key = self.owner.key()
         self.hub.leave(self.owner.incarnation)
