Test the gaps that mutations of the guards showed

Cause: leaving out the adopters' announcement, the refusal to adopt after an own handover, or the filter of the discovery list failed no test. Conclusion: none.

--- a/src/monsoonline/core/ledger.py
+++ b/src/monsoonline/core/ledger.py
@@ -95,14 +95,12 @@
 
     :param fingerprint: digest of the request that started it
     :param answer: the recorded answer, ``None`` while the request runs
-    :param released: whether the request certainly did not run
     :param changed: created by the first resend that waits, since an event per
         record would triple the memory
     """
 
     fingerprint: str
     answer: Answer | None = None
-    released: bool = False
     changed: threading.Event | None = None
 
 
@@ -309,7 +307,6 @@
             record = self._windows.get(parse_key(key).window, {}).pop(key, None)
             if record is not None:
                 self._record_count -= 1
-                record.released = True
                 self._wake(record)
 
     def query(self, key, fingerprint=None):
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -202,6 +202,20 @@
         self.resume(self.third)
         self.assertEqual(self.third.begin(key), DONE)
 
+    def test_stopper_that_ends_before_its_notice_spreads(self):
+        """The adopters announce the records too."""
+        key = self.owner.key()
+        self.owner.run(key)
+        self.owner.peers.publish = lambda kind, item_key, payload: None
+        self.stop(self.owner)
+        newcomer = Entry(self.hub, "four")
+        self.assertEqual(newcomer.begin(key), DONE)
+
+    def test_entry_that_has_handed_over_adopts_nothing(self):
+        """What it adopted after its own export would end with it."""
+        self.second.ledger.close()
+        self.assertEqual(self.stop(self.owner).holders, ("three",))
+
     def test_half_adopted_records_do_not_report_not_run(self):
         """An adopter without room has a part of the records only."""
         limits = LedgerLimits(total_answer_bytes=600 << 10)
