Keep the parts of different handovers apart

Cause: an adopter counted parts by number only. Parts of two handovers of the same records, cut differently (another version, or a first one that broke off), could make a handover look complete, and a finished key in neither part would have been reported as not run. Change: each handover has a random number; parts complete only their own. Conclusion: only a complete handover lets an adopter say never started.

--- a/src/monsoonline/adapters/key_messages.py
+++ b/src/monsoonline/adapters/key_messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import pathlib
+import secrets
 
 import capnp
 
@@ -67,11 +68,13 @@
     """One part of a stopped incarnation's records.
 
     :param export: :class:`LedgerExport` with this part of the records
+    :param transfer: random number of the handover
     :param index: number of the part, from 0
     :param count: number of parts
     """
 
     export: LedgerExport
+    transfer: int
     index: int
     count: int
 
@@ -176,8 +179,10 @@
             size = 0
         groups[-1][1].append(key)
         size += RECORD_OVERHEAD_BYTES
+    transfer = secrets.randbits(64)
     return tuple(
         HandoverPart(
+            transfer=transfer,
             export=dataclasses.replace(
                 export, finished=finished, running=tuple(running)
             ),
@@ -193,6 +198,7 @@
     message = _SCHEMA.HandoverPart.new_message(
         incarnation=part.export.incarnation,
         window=part.export.window,
+        transfer=part.transfer,
         index=part.index,
         count=part.count,
         finished=[
@@ -227,7 +233,12 @@
         )
         if message.index >= message.count:
             raise ValueError(f"part {message.index} of {message.count}")
-        return HandoverPart(export=export, index=message.index, count=message.count)
+        return HandoverPart(
+            export=export,
+            transfer=message.transfer,
+            index=message.index,
+            count=message.count,
+        )
 
     return _decode(_SCHEMA.HandoverPart, payload, convert)
 
--- a/src/monsoonline/adapters/keys.capnp
+++ b/src/monsoonline/adapters/keys.capnp
@@ -45,6 +45,7 @@
   count @3 :UInt32;
   finished @4 :List(FinishedRecord);
   running @5 :List(Text);
+  transfer @6 :UInt64;  # random; tells the parts of different handovers apart
 }
 
 struct HandoverReply {
--- a/src/monsoonline/core/ledger.py
+++ b/src/monsoonline/core/ledger.py
@@ -452,7 +452,7 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Adoption:
-    """What has arrived of one incarnation's handover.
+    """What has arrived of one handover of an incarnation's records.
 
     :param export: the records so far
     :param adopted_at: instant of the first part
@@ -487,17 +487,21 @@
         """Number of finished records kept."""
         return self._record_count
 
-    def add_part(self, part, *, index, count):
+    def add_part(self, part, *, transfer, index, count):
         """Keep one part of a handover; a part that arrives again changes nothing.
 
         :param part: :class:`LedgerExport` with a part of the records
+        :param transfer: number of the handover; parts of two handovers of the same
+            records may be cut differently, so they never complete each other
         :param index: number of the part, from 0
         :param count: number of parts
         :returns: whether it was kept; ``False`` when the limits are reached
         """
         with self._lock:
             self._expire()
-            adoption = self._adoptions.get(part.incarnation)
+            if any(not a.missing for a in self._adoptions_of(part.incarnation)):
+                return True
+            adoption = self._adoptions.get((part.incarnation, transfer))
             if adoption is not None and index not in adoption.missing:
                 return True
             size = sum(answer_size(answer) for _, answer in part.finished.values())
@@ -512,7 +516,7 @@
                     adopted_at=self._clock.now(),
                     missing=set(range(count)),
                 )
-                self._adoptions[part.incarnation] = adoption
+                self._adoptions[(part.incarnation, transfer)] = adoption
             adoption.export = dataclasses.replace(
                 adoption.export,
                 finished=adoption.export.finished | part.finished,
@@ -533,17 +537,19 @@
         parsed = parse_key(key)
         with self._lock:
             self._expire()
-            adoption = self._adoptions.get(parsed.incarnation)
-            if adoption is None:
+            adoptions = self._adoptions_of(parsed.incarnation)
+            if not adoptions:
                 return None
-            if parsed.window < self._window(adoption) - RETENTION_WINDOWS:
+            oldest = max(map(self._window, adoptions)) - RETENTION_WINDOWS
+            if parsed.window < oldest:
                 return KeyStatus(state=KeyState.EXPIRED)
-            export = adoption.export
-            if key in export.finished:
-                recorded, answer = export.finished[key]
-                record = Record(fingerprint=recorded, answer=answer)
-                return status_of(record, fingerprint)
-            undecided = key in export.running or adoption.missing
+            for adoption in adoptions:
+                if key in adoption.export.finished:
+                    recorded, answer = adoption.export.finished[key]
+                    record = Record(fingerprint=recorded, answer=answer)
+                    return status_of(record, fingerprint)
+            running = any(key in a.export.running for a in adoptions)
+            undecided = running or all(a.missing for a in adoptions)
             state = KeyState.UNDECIDED if undecided else KeyState.NEVER_STARTED
             return KeyStatus(state=state)
 
@@ -557,6 +563,9 @@
                 if not adoption.missing
             )
 
+    def _adoptions_of(self, incarnation):
+        return [a for (i, _), a in self._adoptions.items() if i == incarnation]
+
     def _window(self, adoption):
         elapsed_ms = self._clock.now() - adoption.adopted_at
         return adoption.export.window + int(elapsed_ms // WINDOW_MS)
@@ -564,9 +573,9 @@
     def _expire(self):
         kept_ms = (RETENTION_WINDOWS + 1) * WINDOW_MS
         now = self._clock.now()
-        for incarnation, adoption in list(self._adoptions.items()):
+        for identity, adoption in list(self._adoptions.items()):
             if now - adoption.adopted_at > kept_ms:
-                finished = self._adoptions.pop(incarnation).export.finished
+                finished = self._adoptions.pop(identity).export.finished
                 self._record_count -= len(finished)
                 self._answer_bytes -= sum(
                     answer_size(answer) for _, answer in finished.values()
--- a/src/monsoonline/entry/keys.py
+++ b/src/monsoonline/entry/keys.py
@@ -239,7 +239,7 @@
     def _serve_part(self, member_name, payload):
         part = decode_part(payload)
         accepted = not self._ledger.closed and self._adopted.add_part(
-            part.export, index=part.index, count=part.count
+            part.export, transfer=part.transfer, index=part.index, count=part.count
         )
         if accepted and part.index == part.count - 1:
             logger.info("records adopted", extra={"member": member_name})
