Test that an unknown outcome is repeated, and check stand-in options

Cause: no test showed that a resend of a booking with a truncated answer gets the same refusal; an invalid option of `monsoonline upstream` ended in a trace.

--- a/src/monsoonline/commands/upstream.py
+++ b/src/monsoonline/commands/upstream.py
@@ -1,9 +1,11 @@
 """``monsoonline upstream``: run an upstream stand-in."""
 
 import click
+import pydantic
 
 from monsoonline.commands.output import print_document
 from monsoonline.commands.standin import wait_for_stop
+from monsoonline.settings import findings_of
 from monsoonline.standin.upstream import UpstreamFaults, UpstreamStandIn
 
 __all__ = ["command"]
@@ -26,8 +28,13 @@
     /.standin/silence, /.standin/cut and /.standin/crash; GET /.standin/records
     returns what it ran and GET /.standin/health its health.
     """
+    try:
+        faults = UpstreamFaults(**faults)
+    except pydantic.ValidationError as error:
+        findings = findings_of(error, place="options")
+        raise click.UsageError("\n".join(map(str, findings))) from None
     upstream = UpstreamStandIn(
-        host=host, port=port, slots=slots, seed=seed, faults=UpstreamFaults(**faults)
+        host=host, port=port, slots=slots, seed=seed, faults=faults
     )
     upstream.start()
     print_document({"address": upstream.address}, as_json=as_json)
--- a/tests/entry/test_service.py
+++ b/tests/entry/test_service.py
@@ -75,3 +75,17 @@
         response, _ = self.call("POST", "/surveys")
         self.assertEqual(response.status, 428)
         self.assertEqual(self.upstream.runs, ())
+
+    def test_resend_of_an_unknown_outcome_gets_it_again_and_does_not_run(self):
+        """A truncated answer may belong to a booking that ran."""
+        self.upstream.configure(truncate=1.0)
+        _, body = self.call("GET", "/.well-known/monsoonline/token")
+        key = orjson.loads(body)["token"] + ".a1"
+        first = self.call("POST", "/surveys", **{"Monsoonline-Key": key})
+        self.upstream.configure(truncate=0.0)
+        second = self.call("POST", "/surveys", **{"Monsoonline-Key": key})
+        for response, _ in (first, second):
+            self.assertEqual(response.status, 502)
+            self.assertEqual(response.getheader("Monsoonline-Outcome"), "unknown")
+        self.assertEqual(first[1], second[1])
+        self.assertEqual(self.upstream.runs, (key,))
