--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -52,7 +52,9 @@
         self._clock = clock or SystemClock()
         self._metrics = Metrics()
         self._stopping = threading.Event()
-        self._detector = PauseDetector(clock=self._clock)
+        self._detector = PauseDetector(
+            clock=self._clock, on_pause=lambda gap_ms: self._publish_state()
+        )
         self._service_levels = ServiceLevels(clock=self._clock)
         self._peers = None
         self._callers = HttpServer(
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -133,6 +133,23 @@
         self.resume(self.owner)
         self.assertIsNone(self.owner.begin(key))
 
+    def test_silent_owner_is_not_asked_by_every_resend(self):
+        """Resends of a paused owner's keys would hold all worker threads."""
+        self.pause(self.owner)
+        asked = []
+        request = self.second.peers.request
+
+        def count(member, kind, payload, *, timeout_ms):
+            asked.append(kind)
+            return request(member, kind, payload, timeout_ms=timeout_ms)
+
+        self.second.peers.request = count
+        for wait_ms in (100.0, 600.0, 600.0, 100.0):
+            result = self.second.begin(self.owner.key(), wait_ms=wait_ms)
+            self.assertEqual(result, UNREACHABLE)
+        # The first had too short a deadline to tell that the owner is silent.
+        self.assertEqual(len(asked), 2)
+
     def test_killed_owner_leaves_the_outcome_unknown(self):
         key = self.owner.key()
         self.hub.leave(self.owner.incarnation)
@@ -185,6 +202,20 @@
         self.resume(self.third)
         self.assertEqual(self.third.begin(key), DONE)
 
+    def test_stopper_that_ends_before_its_notice_spreads(self):
+        """The adopters announce the records too."""
+        key = self.owner.key()
+        self.owner.run(key)
+        self.owner.peers.publish = lambda kind, item_key, payload: None
+        self.stop(self.owner)
+        newcomer = Entry(self.hub, "four")
+        self.assertEqual(newcomer.begin(key), DONE)
+
+    def test_entry_that_has_handed_over_adopts_nothing(self):
+        """What it adopted after its own export would end with it."""
+        self.second.ledger.close()
+        self.assertEqual(self.stop(self.owner).holders, ("three",))
+
     def test_half_adopted_records_do_not_report_not_run(self):
         """An adopter without room has a part of the records only."""
         limits = LedgerLimits(total_answer_bytes=600 << 10)
