Keep accepting when a caller resets its connection at once

Cause: an error while a new connection was set up ended the accepting thread, and two connections over the limit could count on the same idle one to close.

Change: such an error closes that connection only; a connection that is being closed is not chosen again. A test covers the refusal when all connections are busy.

Conclusion: a reset cannot stop an entry from accepting.

--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -249,7 +249,11 @@
             if self.draining:
                 connection.close()
                 return
-            self._start(connection, address)
+            try:
+                self._start(connection, address)
+            except OSError:
+                # The caller reset the connection before it was served.
+                connection.close()
 
     def _start(self, connection, address):
         if len(self.active_channels) >= self._limit and not self.close_longest_idle():
@@ -269,7 +273,10 @@
         idle = [c for c in list(self.active_channels.values()) if c.idle_since]
         if not idle:
             return False
-        self._hang_up(min(idle, key=lambda channel: channel.idle_since))
+        victim = min(idle, key=lambda channel: channel.idle_since or float("inf"))
+        # The next connection over the limit must choose another one.
+        victim.idle_since = None
+        self._hang_up(victim)
         return True
 
     def drain(self):
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -213,6 +213,25 @@
         self.assertIn(b"/2", second)
         self.assertEqual(self.read_all(idle), b"")
 
+    def test_busy_connections_refuse_another_as_not_run(self):
+        """A full server must not leave a caller without a truthful answer."""
+        entered, leave = threading.Event(), threading.Event()
+
+        def wait(request):
+            entered.set()
+            leave.wait(TIMEOUT_SECONDS)
+            return Answer(status=200)
+
+        self.server = HttpServer(handler=wait, host="127.0.0.1", port=0, workers=1)
+        self.server.start()
+        self.addCleanup(self.server.close)
+        self.addCleanup(leave.set)
+        self.connect().sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertTrue(entered.wait(TIMEOUT_SECONDS))
+        received = self.read_all(self.connect())
+        self.assertTrue(received.startswith(b"HTTP/1.1 503 "), received)
+        self.assertIn(b"Monsoonline-Outcome: not-run", received)
+
 
 class TestEncodeAnswer(unittest.TestCase):
     """Answers without a body."""
