Make three tests fail for the faults that they name

Change: a case without length and body; the booking test waits longer than the receive slice; the hedge test requires the cancellation before the deadline.

Conclusion: the tests guard what they name.

--- a/tests/adapters/test_http_upstream.py
+++ b/tests/adapters/test_http_upstream.py
@@ -67,6 +67,7 @@
             "signed chunk size": chunked + b"+3\r\nabc\r\n0\r\n\r\n",
             "hexadecimal prefix": chunked + b"0x3\r\nabc\r\n0\r\n\r\n",
             "no length": head + b"\r\nabc",
+            "no length and no body": head + b"\r\n",
             "two lengths": head + b"Content-Length: 3\r\n" * 2 + b"\r\nabc",
             "length and chunks": head
             + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from monsoonline.adapters.connection_pool import RECEIVE_SLICE_MS
 from monsoonline.adapters.http_server import HttpServer
 from monsoonline.adapters.http_upstream import HttpUpstreamTransport
 from monsoonline.clock import SystemClock
@@ -286,7 +287,8 @@
         """The caller's resend must get the answer that the first one missed."""
         self.start(self.script)
         self.call_and_hang_up("POST", "/booking")
-        time.sleep(0.02)
+        # Longer than the receive slice, after which a hang-up would be seen.
+        time.sleep(3 * RECEIVE_SLICE_MS / 1e3)
         self.assertEqual(self.released, [])
         self.proceed.set()
         self.assertEqual(self.book().body, b"ok")
@@ -303,7 +305,8 @@
             started = time.monotonic()
             self.assertEqual(self.lookup().body, b"ok")
         self.assertLess(time.monotonic() - started, 1.0)
-        self.assertTrue(self.servers[0].ended.wait(TIMEOUT_SECONDS))
+        # Well before the deadline of 2 s, which would end the first attempt too.
+        self.assertTrue(self.servers[0].ended.wait(1.0))
         self.assertEqual(self.released[0], "succeeded")
         self.assertEqual(self.metrics.value("hedges_total", route="lookup"), 1)
 
