--- a/src/monsoonline/commands/__init__.py
+++ b/src/monsoonline/commands/__init__.py
@@ -13,6 +13,7 @@
     "standin": "monsoonline.commands.standin",
     "upstream": "monsoonline.commands.upstream",
     "check": "monsoonline.commands.check",
+    "bench": "monsoonline.commands.bench",
 }
 
 
--- a/src/monsoonline/core/gossip.py
+++ b/src/monsoonline/core/gossip.py
@@ -648,13 +648,8 @@
         """
         cursor = answered.cursor
         count = JOIN_PROFILES if answered.wants_profiles else 1
-        following = sorted(
-            record.incarnation
-            for record in self._table.present()
-            if record.incarnation > cursor
-        )
-        for incarnation in following:
-            record = self._table.get(incarnation)
+        for record in self._table.after(cursor):
+            incarnation = record.incarnation
             if count == 0 or spent + record_bytes(record) > limit:
                 return spent, cursor
             if incarnation != answered.sender.incarnation:
--- a/src/monsoonline/core/membership.py
+++ b/src/monsoonline/core/membership.py
@@ -8,6 +8,8 @@
 import dataclasses
 import enum
 
+from sortedcontainers import SortedList
+
 from monsoonline.ports import Member
 
 __all__ = ["Condition", "MemberRecord", "MembershipTable"]
@@ -110,6 +112,9 @@
         self._own = own
         self._metrics = metrics
         self._entries = {}
+        self._order = SortedList()
+        self._index = {}
+        self._gone = 0
         self._own_entry = self._entry_of(own)
         self._machines = {}
         self._leaving_machines = frozenset()
@@ -124,7 +129,7 @@
     @property
     def size(self):
         """Number of members that are not gone, this entry included."""
-        return 1 + sum(1 for _ in self.present())
+        return 1 + len(self._entries) - self._gone
 
     def present(self):
         """Yield the records of other members that are not gone."""
@@ -132,6 +137,13 @@
             if entry.record.condition != Condition.GONE:
                 yield entry.record
 
+    def after(self, cursor):
+        """Yield the records present after an incarnation, in that order."""
+        for incarnation in self._order.irange(cursor, inclusive=(False, True)):
+            record = self._entries[incarnation].record
+            if record.condition != Condition.GONE:
+                yield record
+
     def get(self, incarnation):
         """Return the record of an incarnation, or ``None``."""
         if incarnation == self._own.incarnation:
@@ -214,13 +226,13 @@
     def expire(self):
         """Declare silent suspects gone and forget what was gone for long."""
         now = self._clock.now()
-        for incarnation, entry in list(self._entries.items()):
+        for entry in list(self._entries.values()):
             condition = entry.record.condition
             if condition == Condition.SUSPECT and now - entry.since >= SUSPECT_MS:
                 gone = dataclasses.replace(entry.record, condition=Condition.GONE)
                 self._apply(entry, gone)
             elif condition == Condition.GONE and now - entry.since >= FORGET_MS:
-                del self._entries[incarnation]
+                self._forget(entry.record)
 
     def postpone(self, pause_ms):
         """Move timers after this process itself was paused for ``pause_ms``."""
@@ -329,6 +341,8 @@
         if record.condition == Condition.GONE or len(self._entries) >= MAX_MEMBERS:
             return False
         self._entries[record.incarnation] = self._entry_of(record)
+        self._order.add(record.incarnation)
+        self._index_texts(record)
         self._returned.append(record.incarnation)
         self._count("member_joins_total")
         if direct:
@@ -337,19 +351,30 @@
             self._supersede(record, listed_only=True)
         return True
 
+    def _forget(self, record):
+        del self._entries[record.incarnation]
+        self._order.remove(record.incarnation)
+        self._gone -= 1
+        for text in (record.name, record.peer_address):
+            self._index[text].discard(record.incarnation)
+            if not self._index[text]:
+                del self._index[text]
+
+    def _index_texts(self, record):
+        for text in (record.name, record.peer_address):
+            self._index.setdefault(text, set()).add(record.incarnation)
+
     def _apply(self, entry, record):
         known = entry.record
-        if not record.name:
-            record = dataclasses.replace(
-                record,
-                name=known.name,
-                address=known.address,
-                peer_address=known.peer_address,
-                failure_domain=known.failure_domain,
-                region=known.region,
-            )
+        # A process keeps its name and peer address for life; only the callers'
+        # address may become known later.
         record = dataclasses.replace(
             record,
+            name=known.name,
+            address=record.address or known.address,
+            peer_address=known.peer_address,
+            failure_domain=known.failure_domain,
+            region=known.region,
             leaving=record.leaving or known.leaving,
             revision=max(record.revision, known.revision),
         )
@@ -358,8 +383,10 @@
             entry.suspected_here = False
             if record.condition == Condition.GONE:
                 self._removed.append(record.incarnation)
+                self._gone += 1
             elif known.condition == Condition.GONE:
                 self._returned.append(record.incarnation)
+                self._gone -= 1
         entry.record = record
         entry.sends_inside = 0
         entry.sends_between = 0
@@ -382,7 +409,10 @@
         if record.condition != Condition.ALIVE:
             return
         listed = self._machines.get(record.peer_address) == record.name
-        for entry in list(self._entries.values()):
+        related = self._index.get(record.name, set())
+        related = related | self._index.get(record.peer_address, set())
+        for incarnation in related:
+            entry = self._entries[incarnation]
             other = entry.record
             if other.incarnation == record.incarnation or entry.superseded:
                 continue
