End idle peer connections at the bound and limit the time to send

Cause: with as many connections as the bound, requests to further peers were refused although others were idle; the time to send was whatever the last read had left over.

Change: an idle connection gives way; each send has its own deadline; a test for datagrams that waited while the process was paused.

Conclusion: the bound limits threads and sockets, not the peers reachable.

--- a/src/monsoonline/adapters/peer_connections.py
+++ b/src/monsoonline/adapters/peer_connections.py
@@ -106,8 +106,12 @@
         self._peer_name = other.name
         self._nonces = nonce + other.nonce if self._opened else other.nonce + nonce
 
-    def send(self, exchange):
-        """Send a message after the greetings."""
+    def send(self, exchange, *, deadline):
+        """Send a message after the greetings.
+
+        :raises OSError: when the other side did not take it until ``deadline``
+        """
+        self._connection.settimeout(max(0.001, deadline - time.monotonic()))
         self._write(exchange, context=self._context(self._opened))
 
     def receive(self, *, deadline, idle_deadline=None):
@@ -173,7 +177,7 @@
         self._number = 0
         self._failures = 0
         self._not_before = 0.0
-        self.ended = False
+        self._busy = False
 
     def submit(self, exchange, incarnation, deadline):
         """Queue a request; return the future of its reply.
@@ -201,7 +205,9 @@
                 if self._client.forget(self._address, self):
                     break
                 continue
+            self._busy = True
             self._serve(*request)
+            self._busy = False
         self._close()
 
     def stop(self):
@@ -214,8 +220,8 @@
 
     @property
     def idle(self):
-        """Whether no request waits."""
-        return self._requests.empty()
+        """Whether no request waits or runs."""
+        return self._requests.empty() and not self._busy
 
     def _serve(self, exchange, incarnation, deadline, future):
         if time.monotonic() >= deadline or self._client.closed:
@@ -254,7 +260,7 @@
             payload=exchange.payload,
             number=self._number,
         )
-        self._channel.send(request)
+        self._channel.send(request, deadline=deadline)
         reply = self._channel.receive(deadline=deadline)
         if reply.number != self._number:
             raise PeerMessageRejected("a reply to another request", code="malformed")
@@ -345,7 +351,6 @@
                 return False
             if self._connections.get(address) is connection:
                 del self._connections[address]
-            connection.ended = True
             return True
 
     def count_dropped(self, cause):
@@ -374,8 +379,14 @@
             return connection.submit(exchange, incarnation, deadline)
 
     def _make_room(self):
+        """End an idle connection when the number is at its bound."""
         if len(self._connections) < MAX_CONNECTIONS:
             return
+        for address, connection in list(self._connections.items()):
+            if connection.idle:
+                del self._connections[address]
+                connection.stop()
+                return
         raise PeerUnavailable(
             f"{MAX_CONNECTIONS} peer connections are open", code="peer-busy"
         )
@@ -462,8 +473,8 @@
             request = channel.receive(
                 deadline=idle_deadline, idle_deadline=idle_deadline
             )
-            connection.settimeout(FRAME_TIMEOUT_MS / 1e3)
-            channel.send(self._reply(channel, request))
+            reply = self._reply(channel, request)
+            channel.send(reply, deadline=time.monotonic() + FRAME_TIMEOUT_MS / 1e3)
 
     def _reply(self, channel, request):
         handler = self._handlers.get(request.name)
--- a/tests/adapters/test_peer_network.py
+++ b/tests/adapters/test_peer_network.py
@@ -4,7 +4,9 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
+from monsoonline.adapters import peer_connections
 from monsoonline.adapters.peer_network import SocketPeerNetwork
 from monsoonline.clock import SystemClock
 from monsoonline.errors import MonsoonlineError, PeerUnavailable
@@ -21,7 +23,7 @@
         self.rows = []
         self.metrics = {}
 
-    def start(self, number, *, keys=KEYS):
+    def start(self, number, *, keys=KEYS, clock=None):
         self.metrics[number] = Metrics()
         network = SocketPeerNetwork(
             host="127.0.0.1",
@@ -33,7 +35,7 @@
             address=f"127.0.0.1:{number}",
             failure_domain="a",
             region="r",
-            clock=SystemClock(),
+            clock=clock or SystemClock(),
             metrics=self.metrics[number],
             virtual_machines=lambda: tuple(self.rows),
             seed=number,
@@ -152,6 +154,15 @@
         except PeerUnavailable:
             return None
 
+    def test_idle_connection_gives_way_at_the_bound(self):
+        """More peers than connections must not make any of them unreachable."""
+        first, *others = (self.start(number) for number in (1, 2, 3))
+        with mock.patch.object(peer_connections, "MAX_CONNECTIONS", 1):
+            for _ in range(2):
+                for target in map(self.member, others):
+                    reply = first.request(target, "members", b"", timeout_ms=2000)
+                    self.assertTrue(reply)
+
     def test_other_process_at_the_address_is_not_asked(self):
         first, second = self.start(1), self.start(2)
         second.serve("echo", lambda name, payload: payload)
@@ -217,6 +228,32 @@
                 )
             )
 
+    def test_datagrams_that_waited_during_a_pause_are_dropped(self):
+        """Their ages are too low by the length of the pause."""
+        clock = SteppedClock()
+        first = self.start(1, clock=clock)
+        host, _, port = first.address.rpartition(":")
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(sender.close)
+
+        def dropped():
+            clock.step_ms += 5000
+            sender.sendto(b"waited", (host, int(port)))
+            time.sleep(0.02)
+            return self.metrics[1].value("peer_messages_dropped_total", cause="paused")
+
+        self.wait(dropped)
+
+
+class SteppedClock(SystemClock):
+    """A clock that a test moves forward, as after a pause of the process."""
+
+    step_ms = 0.0
+
+    def now(self):
+        """Return the monotonic time with all steps."""
+        return super().now() + self.step_ms
+
 
 class RecordingProxy:
     """Passes one connection on and records what the opener sent.
