Show the state of the entries, and share what two commands wrote twice

Cause: operators had no command for the state of the entries; two groups of commands had the same lazy loading, and two types the same header lookup. Change: `monsoonline status` reads the entries in parallel and names where they differ; LazyGroup takes its mapping as an argument; the burn report and the status share one reader; requests and answers share the header lookup. Conclusion: one copy of each remains.

--- a/src/monsoonline/commands/__init__.py
+++ b/src/monsoonline/commands/__init__.py
@@ -1,13 +1,12 @@
 """The command line: one module per group of commands."""
 
-import importlib
-
 import click
 
+from monsoonline.commands.lazy import LazyGroup
+
 __all__ = ["main"]
 
-# Command name and the module that defines it as ``command``. Modules are imported
-# on use, so that a daemon does not load plotting or model checking libraries.
+# Command name and the module that defines it as ``command``.
 COMMANDS = {
     "entry": "monsoonline.commands.entry",
     "standin": "monsoonline.commands.standin",
@@ -16,27 +15,18 @@
     "routes": "monsoonline.commands.routes",
     "pools": "monsoonline.commands.pools",
     "check": "monsoonline.commands.check",
+    "status": "monsoonline.commands.status",
     "report": "monsoonline.commands.report",
     "verify": "monsoonline.commands.verify",
     "bench": "monsoonline.commands.bench",
 }
 
 
-class LazyGroup(click.Group):
-    """A group whose commands are imported when they are used."""
-
-    def list_commands(self, context):
-        """Return the command names in order of registration."""
-        return list(COMMANDS)
-
-    def get_command(self, context, name):
-        """Import and return a command, or ``None``."""
-        if name not in COMMANDS:
-            return None
-        return importlib.import_module(COMMANDS[name]).command
-
-
-@click.group(cls=LazyGroup, context_settings={"help_option_names": ["-h", "--help"]})
+@click.group(
+    cls=LazyGroup,
+    modules=COMMANDS,
+    context_settings={"help_option_names": ["-h", "--help"]},
+)
 @click.version_option(package_name="monsoonline")
 def main():
     """Balance requests over upstreams whose load shifts in milliseconds.
--- a/src/monsoonline/commands/bench.py
+++ b/src/monsoonline/commands/bench.py
@@ -1,12 +1,12 @@
 """``monsoonline bench``: load experiments and other measurements."""
 
-import importlib
 import pathlib
 import sys
 
 import click
 import orjson
 
+from monsoonline.commands.lazy import LazyGroup
 from monsoonline.errors import FindingsError
 
 __all__ = ["command"]
@@ -19,27 +19,13 @@
 }
 
 
-class LazyBenchGroup(click.Group):
-    """A group whose subcommands are imported when they are used."""
-
-    def list_commands(self, context):
-        """Return the names of the subcommands."""
-        return list(SUBCOMMANDS)
-
-    def get_command(self, context, name):
-        """Import and return a subcommand, or ``None``."""
-        if name not in SUBCOMMANDS:
-            return None
-        return importlib.import_module(SUBCOMMANDS[name]).command
-
-
 def show_progress(text):
     """Show a step on a terminal only."""
     if sys.stderr.isatty():
         click.echo(text, err=True)
 
 
-@click.group("bench", cls=LazyBenchGroup, invoke_without_command=True)
+@click.group("bench", cls=LazyGroup, modules=SUBCOMMANDS, invoke_without_command=True)
 @click.option(
     "--deployment",
     type=click.Choice(("traufbrett", "cooperative")),
--- a/src/monsoonline/report/burn.py
+++ b/src/monsoonline/report/burn.py
@@ -5,18 +5,14 @@
 marks partial results when one of its databases fails.
 """
 
-import concurrent.futures
 import dataclasses
-import http.client
-
-import orjson
 
 from monsoonline.core.service_levels import WINDOWS_MS, RouteWindows
+from monsoonline.report.reader import read_entries
 
 __all__ = ["BurnReport", "Budget", "EntrySample", "collect", "make_report"]
 
 SERVICE_LEVELS_PATH = "/v1/service-levels"
-MAX_CONNECTIONS = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -96,37 +92,6 @@
     bad: list[int]
 
 
-def read_entry(address, *, timeout_ms):
-    """Read one entry's counts; an unreachable entry gives a sample with an error."""
-    connection = http.client.HTTPConnection(address, timeout=timeout_ms / 1e3)
-    try:
-        connection.request("GET", SERVICE_LEVELS_PATH)
-        response = connection.getresponse()
-        content = response.read()
-        if response.status != 200:
-            return EntrySample(address=address, error=f"status {response.status}")
-        document = orjson.loads(content)
-        routes = tuple(
-            RouteWindows(
-                **{k: tuple(v) if isinstance(v, list) else v for k, v in r.items()}
-            )
-            for r in document["routes"]
-        )
-        return EntrySample(
-            address=address, history_ms=document["history_ms"], routes=routes
-        )
-    except (
-        OSError,
-        http.client.HTTPException,
-        ValueError,
-        KeyError,
-        TypeError,
-    ) as error:
-        return EntrySample(address=address, error=repr(error))
-    finally:
-        connection.close()
-
-
 def collect(addresses, *, timeout_ms=2000.0):
     """Read the counts of entries in parallel.
 
@@ -134,10 +99,25 @@
     :param timeout_ms: time limit for each entry
     :returns: a tuple of :class:`EntrySample` in the order of the addresses
     """
-    with concurrent.futures.ThreadPoolExecutor(MAX_CONNECTIONS) as executor:
-        return tuple(
-            executor.map(lambda a: read_entry(a, timeout_ms=timeout_ms), addresses)
+    answers = read_entries(addresses, SERVICE_LEVELS_PATH, timeout_ms=timeout_ms)
+    return tuple(sample_of(answer) for answer in answers)
+
+
+def sample_of(answer):
+    """Return the sample of one entry's document, or one with an error."""
+    if answer.error:
+        return EntrySample(address=answer.address, error=answer.error)
+    try:
+        routes = tuple(
+            RouteWindows(
+                **{k: tuple(v) if isinstance(v, list) else v for k, v in row.items()}
+            )
+            for row in answer.document["routes"]
         )
+        history_ms = float(answer.document["history_ms"])
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        return EntrySample(address=answer.address, error=f"not understood: {error!r}")
+    return EntrySample(address=answer.address, history_ms=history_ms, routes=routes)
 
 
 def make_report(samples):
--- a/src/monsoonline/types.py
+++ b/src/monsoonline/types.py
@@ -62,8 +62,22 @@
     draining: bool = False
 
 
+class WithHeaders:
+    """Lookup in the header pairs of a message."""
+
+    __slots__ = ()
+
+    def header(self, name, default=None):
+        """Return the first value of a header, matched without regard to case."""
+        wanted = name.lower()
+        for key, value in self.headers:
+            if key.lower() == wanted:
+                return value
+        return default
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Request:
+class Request(WithHeaders):
     """A caller's request after HTTP parsing.
 
     :param method: upper-case HTTP method
@@ -86,17 +100,9 @@
         """The target without its query string."""
         return self.target.partition("?")[0]
 
-    def header(self, name, default=None):
-        """Return the first value of a header, matched without regard to case."""
-        wanted = name.lower()
-        for key, value in self.headers:
-            if key.lower() == wanted:
-                return value
-        return default
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Answer:
+class Answer(WithHeaders):
     """A complete answer to a request.
 
     :param status: HTTP status code
@@ -109,11 +115,3 @@
     reason: str = ""
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
-
-    def header(self, name, default=None):
-        """Return the first value of a header, matched without regard to case."""
-        wanted = name.lower()
-        for key, value in self.headers:
-            if key.lower() == wanted:
-                return value
-        return default
