Suspect a region by failed probes instead of silence

Cause: replies carry no texts of the sender, so they were not counted as heard from its region, and relays suspected whole regions under packet loss. The false rumors delayed true ones.

Change: the region is taken from the member table; a region is suspected after three of its members in turn did not reply and nothing else was heard; six relays per region instead of three.

Conclusion: silence over a link that is used rarely proves nothing.

--- a/src/monsoonline/core/gossip.py
+++ b/src/monsoonline/core/gossip.py
@@ -41,8 +41,11 @@
 REPLY_RESERVE_BYTES = 500
 CONTACT_EVERY_ROUNDS = 4
 SUSPECT_EVERY_ROUNDS = 2
-RELAYS_PER_REGION = 3
-REGION_SILENCE_MS = 10_000.0
+RELAYS_PER_REGION = 6
+# A region is suspected after this many members of it in turn did not reply, and
+# nothing else was heard from it. Silence alone is no proof: a relay hears from one
+# of six other regions every 3.6 s on average, and 10 s of silence are common.
+REGION_FAILURES = 3
 # A round that starts this late means that the process was paused.
 PAUSE_MS = 2000.0
 # An announced change is sent this many times the logarithm of the membership.
@@ -207,6 +210,7 @@
         self._rounds = 0
         self._last_round = clock.now()
         self._region_heard = {}
+        self._region_failures = {}
 
     @property
     def budget(self):
@@ -314,7 +318,10 @@
     def _learn(self, message):
         sender = message.sender
         self._table.merge(sender, direct=True)
-        self._region_heard[sender.region] = self._clock.now()
+        known = self._table.get(sender.incarnation)
+        if known is not None:
+            self._region_heard[known.region] = self._clock.now()
+            self._region_failures.pop(known.region, None)
         for record in message.members:
             self._table.merge(record)
         self._follow_owners()
@@ -406,7 +413,7 @@
             self._count("gossip_pauses_total")
             self._probes.clear()
             self._forwarded.clear()
-            self._region_heard.clear()
+            self._region_failures.clear()
             self._table.postpone(pause)
 
     def _check_probes(self):
@@ -417,6 +424,7 @@
             if probe.attempts == PROBE_ATTEMPTS or not probe.incarnation:
                 del self._probes[number]
                 self._table.suspect(probe.incarnation)
+                self._count_region_failure(probe)
                 continue
             if not self._send(
                 probe.address, kind=MessageKind.PROBE, probe=number, bare=True
@@ -514,7 +522,6 @@
         }:
             return None
         region = self._pick(others)
-        self._check_region(region)
         return self._pick(relays[region]) if relays[region] else None
 
     def _relays(self):
@@ -533,14 +540,17 @@
             for region, records in by_region.items()
         }
 
-    def _check_region(self, region):
-        """Suspect all members of a region from which nothing was heard for long."""
-        now = self._clock.now()
-        heard = self._region_heard.setdefault(region, now)
-        if now - heard < REGION_SILENCE_MS:
+    def _count_region_failure(self, probe):
+        """Suspect all members of a region when several of them fail in turn."""
+        failed = self._table.get(probe.incarnation)
+        if failed is None or failed.region == self._table.own.region:
+            return
+        failures = self._region_failures.get(failed.region, 0) + 1
+        self._region_failures[failed.region] = failures
+        if failures < REGION_FAILURES:
             return
         for record in list(self._table.present()):
-            if record.region == region:
+            if record.region == failed.region:
                 self._table.suspect(record.incarnation)
 
     def _send(
