--- a/src/monsoonline/core/service_levels.py
+++ b/src/monsoonline/core/service_levels.py
@@ -4,11 +4,10 @@
 in buckets of one minute, so that a report needs no history outside the entries.
 """
 
+import array
 import dataclasses
 import threading
 
-import numpy as np
-
 __all__ = ["RouteWindows", "ServiceLevels", "WINDOWS_MS"]
 
 BUCKET_MS = 60_000.0
@@ -16,7 +15,6 @@
 # engineering: short ones show a fast burn, the longest one the budget left.
 WINDOWS_MS = (300_000.0, 1_800_000.0, 3_600_000.0, 21_600_000.0)
 BUCKET_COUNT = int(WINDOWS_MS[-1] / BUCKET_MS) + 1
-TOTAL, GOOD = 0, 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -39,6 +37,50 @@
     goods: tuple[int, ...]
 
 
+class BucketRing:
+    """Counts of one route in buckets that are reused in turn.
+
+    :param bucket: number of the current bucket
+    """
+
+    # Element updates of numpy arrays cost three times those of array.array.
+    __slots__ = ("_goods", "_last", "_totals")
+
+    def __init__(self, *, bucket):
+        zeros = bytes(8 * BUCKET_COUNT)
+        self._totals = array.array("q", zeros)
+        self._goods = array.array("q", zeros)
+        self._last = bucket
+
+    def add(self, bucket, good):
+        """Count one request in a bucket."""
+        if bucket != self._last:
+            self._advance(bucket)
+        self._totals[bucket % BUCKET_COUNT] += 1
+        if good:
+            self._goods[bucket % BUCKET_COUNT] += 1
+
+    def sums(self, bucket, count):
+        """Return the total and the good requests of the last ``count`` buckets."""
+        self._advance(bucket)
+        indexes = [
+            number % BUCKET_COUNT
+            for number in range(max(0, bucket - count + 1), bucket + 1)
+        ]
+        return (
+            sum(self._totals[index] for index in indexes),
+            sum(self._goods[index] for index in indexes),
+        )
+
+    def _advance(self, bucket):
+        """Empty the buckets that are used again."""
+        passed = min(bucket - self._last, BUCKET_COUNT)
+        for number in range(bucket - passed + 1, bucket + 1):
+            self._totals[number % BUCKET_COUNT] = 0
+            self._goods[number % BUCKET_COUNT] = 0
+        self._last = max(bucket, self._last)
+
+
 class ServiceLevels:
     """Counts requests by the success definition of their route.
 
@@ -49,9 +91,7 @@
         self._clock = clock
         self._origin = clock.now()
         self._lock = threading.Lock()
-        # Per route: counts of shape (BUCKET_COUNT, 2) and the bucket written last.
-        self._counts = {}
-        self._last = {}
+        self._rings = {}
 
     @property
     def history_ms(self):
@@ -74,10 +114,7 @@
         )
         bucket = self._bucket()
         with self._lock:
-            counts = self._advance(route.name, bucket)
-            row = counts[bucket % BUCKET_COUNT]
-            row[TOTAL] += 1
-            row[GOOD] += good
+            self._ring(route.name, bucket).add(bucket, good)
 
     def windows(self, routes):
         """Return the counts of routes.
@@ -88,11 +125,9 @@
         bucket = self._bucket()
         named = {route.name: route for route in routes}
         with self._lock:
-            for name in self._counts.keys() - named.keys():
-                del self._counts[name], self._last[name]
-            sums = {
-                name: self._sums(self._advance(name, bucket), bucket) for name in named
-            }
+            for name in self._rings.keys() - named.keys():
+                del self._rings[name]
+            sums = {name: self._sums(name, bucket) for name in named}
         return tuple(
             RouteWindows(
                 route=name,
@@ -108,23 +143,12 @@
     def _bucket(self):
         return int((self._clock.now() - self._origin) // BUCKET_MS)
 
-    def _advance(self, name, bucket):
-        counts = self._counts.get(name)
-        if counts is None:
-            counts = np.zeros((BUCKET_COUNT, 2), dtype=np.int64)
-            self._counts[name] = counts
-            self._last[name] = bucket
-        passed = min(bucket - self._last[name], BUCKET_COUNT)
-        for index in range(bucket - passed + 1, bucket + 1):
-            counts[index % BUCKET_COUNT] = 0
-        self._last[name] = max(bucket, self._last[name])
-        return counts
-
-    @staticmethod
-    def _sums(counts, bucket):
-        sums = []
-        for window_ms in WINDOWS_MS:
-            buckets = np.arange(bucket - int(window_ms / BUCKET_MS) + 1, bucket + 1)
-            chosen = counts[buckets[buckets >= 0] % BUCKET_COUNT]
-            sums.append(tuple(int(value) for value in chosen.sum(axis=0)))
-        return sums
+    def _ring(self, name, bucket):
+        ring = self._rings.get(name)
+        if ring is None:
+            ring = self._rings[name] = BucketRing(bucket=bucket)
+        return ring
+
+    def _sums(self, name, bucket):
+        ring = self._ring(name, bucket)
+        return [ring.sums(bucket, int(window / BUCKET_MS)) for window in WINDOWS_MS]
