--- a/src/monsoonline/core/dispatch.py
+++ b/src/monsoonline/core/dispatch.py
@@ -18,6 +18,7 @@
 # A drain notice is repeated while it is true, and forgotten after this time, so a
 # server that comes back under the same address is used again.
 LEAVING_MEMORY_MS = 300_000.0
+HEDGE_DELAY_PER_SHED = 2.0
 ANSWER_SOURCE = "answer"
 LATENCY_KINDS = frozenset(
     (AttemptKind.SUCCEEDED, AttemptKind.CANCELLED, AttemptKind.TIMED_OUT)
@@ -224,7 +225,13 @@
 
     def hedge_delay_ms(self, route):
         """Return the time after which an unanswered lookup may be hedged."""
-        return self._budget(route).hedge_delay_ms
+        delay = self._budget(route).hedge_delay_ms
+        pool = self._pools.get(route.pool)
+        if pool is None:
+            return delay
+        # In a saturated pool hedges take slots from first attempts, so only those
+        # of a request on a slow upstream are worth it.
+        return delay * (1.0 + HEDGE_DELAY_PER_SHED * pool.shed_share)
 
     def hold_ms(self, fingerprint):
         """Return how long to hold the answer to a lost connection.
--- a/src/monsoonline/core/pool_dispatch.py
+++ b/src/monsoonline/core/pool_dispatch.py
@@ -95,6 +95,11 @@
         """Attempts of this entry in flight."""
         return self._in_flight
 
+    @property
+    def shed_share(self):
+        """Share of the attempts that upstreams refused for their load, averaged."""
+        return self._shed_share
+
     @property
     def limit(self):
         """Attempts of this entry that may be in flight."""
