Do not report a resend without an answer as not run

Cause: Caller.resend reported refused_not_run when the entry refused the connection, although the booking had been sent with this key before and may have run. Change: a resend without an answer is unknown. Conclusion: only the caller library was wrong; no entry sent the refusal.

--- a/src/monsoonline/caller.py
+++ b/src/monsoonline/caller.py
@@ -284,8 +284,10 @@
             progress.last = self._exchange(
                 address, method, target, pairs, body, deadline
             )
-        except ExchangeLost as error:
-            progress.lost = error.sent
+        except ExchangeLost:
+            # The booking was sent before with this key, so a resend that did not
+            # reach an entry tells nothing about whether it ran.
+            progress.lost = True
         return booking_result(progress)
 
     @staticmethod
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -144,6 +144,11 @@
         self.assertIs(result.call_status, CallStatus.UNKNOWN)
         self.assertEqual(len(result.keys), 1)
 
+    def test_resend_to_a_closed_entry_does_not_say_that_the_booking_did_not_run(self):
+        key = self.book().keys[-1]
+        result = self.caller.resend("127.0.0.1:1", key, "POST", "/book", body=b"{}")
+        self.assertIs(result.call_status, CallStatus.UNKNOWN)
+
     def test_retry_after_is_honoured(self):
         times = []
 
