Keep an upstream stand-in's records in a file and name the peer port

Cause: scenarios kill upstream stand-ins and must account for what those had run, but the records were only in memory. The start line of an entry did not name its peer port, so a test runner could not put it on the VM list without fixing the port. No fault made a surplus answer wait on a connection. Tests: 2 new ones of the stand-in pass; without the change they cannot run.

--- a/src/monsoonline/commands/entry.py
+++ b/src/monsoonline/commands/entry.py
@@ -47,7 +47,11 @@
     service.start()
     limit_collection_pauses()
     print_document(
-        {"callers": service.callers_address, "operations": service.operations_address},
+        {
+            "callers": service.callers_address,
+            "operations": service.operations_address,
+            "peers": service.peers_address,
+        },
         as_json=as_json,
     )
     stopped.wait()
--- a/src/monsoonline/commands/upstream.py
+++ b/src/monsoonline/commands/upstream.py
@@ -21,8 +21,13 @@
 @click.option("--queue-limit", default=1024, show_default=True, help="Then it sheds.")
 @click.option("--cold-start-ms", default=0.0, help="Slower for this time.")
 @click.option("--seed", default=0, show_default=True, help="Of the service times.")
+@click.option(
+    "--records",
+    type=click.Path(dir_okay=False),
+    help="Append what it ran to this file, as JSON lines.",
+)
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON line at start.")
-def command(host, port, slots, seed, as_json, **faults):
+def command(host, port, slots, seed, records, as_json, **faults):
     """Run a stand-in for an upstream server.
 
     Its behaviour is switched with POST /.standin/faults (a JSON object),
@@ -35,7 +40,12 @@
         findings = findings_of(error, place="options")
         raise click.UsageError("\n".join(map(str, findings))) from None
     upstream = UpstreamStandIn(
-        host=host, port=port, slots=slots, seed=seed, faults=faults
+        host=host,
+        port=port,
+        slots=slots,
+        seed=seed,
+        faults=faults,
+        records_file=records,
     )
     upstream.start()
     limit_collection_pauses()
--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -129,6 +129,11 @@
         """``host:port`` of the operations port."""
         return self._operations.address
 
+    @property
+    def peers_address(self):
+        """``host:port`` of the peer port, ``None`` without a peer network."""
+        return getattr(self._peers, "address", None)
+
     @property
     def ready(self):
         """Whether callers may be sent here."""
--- a/src/monsoonline/standin/upstream.py
+++ b/src/monsoonline/standin/upstream.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import http.server
+import io
 import logging
 import select
 import socket
@@ -47,6 +48,8 @@
     :param load_lag_ms: age of the load report on answers
     :param load_override: load report to send instead of the true one
     :param truncate: share of answers of which only a part of the body is sent
+    :param repeat: share of answers that are sent twice on their connection, so that
+        the second copy is there when the next request is sent
     :param healthy: what the health endpoint says
     """
 
@@ -65,6 +68,7 @@
     load_lag_ms: float = pydantic.Field(default=0.0, ge=0)
     load_override: str | None = None
     truncate: float = pydantic.Field(default=0.0, ge=0, le=1)
+    repeat: float = pydantic.Field(default=0.0, ge=0, le=1)
     healthy: bool = True
 
 
@@ -177,6 +181,8 @@
     :param service_ms: median service time
     :param seed: seed of the service times and of truncation
     :param faults: :class:`UpstreamFaults` at the start
+    :param records_file: file to which each record is appended as a JSON line when it
+        starts and when it ends, so that it outlives a kill; ``None`` for none
     """
 
     def __init__(
@@ -188,8 +194,10 @@
         service_ms=1.0,
         seed=0,
         faults=None,
+        records_file=None,
     ):
         self._clock = SystemClock()
+        self._records_file = io.FileIO(records_file, "a") if records_file else None
         self._slots = slots
         self._faults = faults or UpstreamFaults(service_ms=service_ms)
         self._generator = numpy.random.default_rng(seed)
@@ -244,6 +252,8 @@
             self._server.shutdown()
         self._close_listener()
         self.cut_connections()
+        if self._records_file is not None:
+            self._records_file.close()
 
     def crash(self):
         """End as a killed process does: no listening socket, connections reset."""
@@ -328,8 +338,10 @@
             }
             with self._changed:
                 cut = self._generator.random() < self._faults.truncate
+                repeated = self._generator.random() < self._faults.repeat
             share = 0.5 if cut else 1.0
-            handler.answer(200, document, self._marks(), sent_share=share)
+            for _ in range(2 if repeated else 1):
+                handler.answer(200, document, self._marks(), sent_share=share)
 
     def _deadline(self, handler):
         text = handler.headers.get("Monsoonline-Deadline-Ms")
@@ -374,16 +386,25 @@
             started=self._clock.now(),
         )
         with self._changed:
+            number = len(self._records)
             self._records.append(record)
             service_ms = self._service_ms(record.started)
+            self._write_record(number, record)
         cancelled = handler.disconnected(service_ms)
         record.ended = self._clock.now()
         record.completed = not cancelled
+        self._write_record(number, record)
         self._count("cancelled" if cancelled else "completed")
         if cancelled:
             handler.close_connection = True
         return record.completed
 
+    def _write_record(self, number, record):
+        if self._records_file is not None:
+            line = {"number": number, **dataclasses.asdict(record)}
+            # One unbuffered write in append mode, so lines do not mix.
+            self._records_file.write(orjson.dumps(line) + b"\n")
+
     def _service_ms(self, now):
         faults = self._faults
         factor = faults.slow_factor
--- a/tests/standin/test_upstream.py
+++ b/tests/standin/test_upstream.py
@@ -2,6 +2,8 @@
 
 import concurrent.futures
 import http.client
+import socket
+import tempfile
 import time
 import unittest
 
@@ -54,6 +56,35 @@
         self.assertEqual(first, second)
         self.assertEqual(len(set(first)), 5)
 
+    def test_repeated_answer_is_on_the_connection_before_the_next_request(self):
+        self.upstream.configure(repeat=1.0)
+        host, _, port = self.upstream.address.partition(":")
+        received = b""
+        # http.client would read the second copy into its buffer unseen.
+        with socket.create_connection((host, int(port)), timeout=5) as connection:
+            connection.sendall(b"GET /one HTTP/1.1\r\nHost: a\r\n\r\n")
+            while received.count(b'"path":"/one"') < 2:
+                part = connection.recv(4096)
+                self.assertTrue(part)
+                received += part
+        self.assertEqual(len(self.upstream.runs), 1)
+
+    def test_records_file_holds_a_request_that_has_not_ended(self):
+        """A killed stand-in loses its memory; the file must tell what had started."""
+        with tempfile.NamedTemporaryFile() as file:
+            upstream = UpstreamStandIn(service_ms=60_000.0, records_file=file.name)
+            upstream.start()
+            self.addCleanup(upstream.close)
+            host, _, port = upstream.address.partition(":")
+            connection = http.client.HTTPConnection(host, int(port), timeout=5)
+            self.addCleanup(connection.close)
+            connection.request("GET", "/", headers={"Monsoonline-Key": "first"})
+            self.eventually(lambda: upstream.runs == ("first",))
+            self.eventually(lambda: file.seek(0) == 0 and file.read().endswith(b"\n"))
+            file.seek(0)
+            record = orjson.loads(file.read())
+            self.assertEqual((record["key"], record["ended"]), ("first", None))
+
     def test_full_queue_sheds_with_or_without_certificate(self):
         self.upstream.configure(queue_limit=0)
         self.occupy()
