--- /dev/null
+++ b/features/r6_planned_stop.feature
@@ -0,0 +1,17 @@
+Feature: R6, planned stops
+  Protects R6: a planned stop of an entry interrupts no request in flight, and R4:
+  the keys of the entry that stopped run at most once.
+
+  Scenario: An entry is replaced under load
+    Given a deployment of 3 entries and 3 upstreams
+    And 4 callers resend every booking through any entry
+    And the load runs for 0.5 seconds
+    When one more entry is started
+    And entry "entry-1" is told to stop
+    And the load runs for 4 seconds
+    And the load stops
+    Then entry "entry-1" exits gracefully without an interrupted request
+    And the new entry becomes ready within 15 seconds
+    And every lookup is answered
+    And every booking is answered
+    And no call is lost, doubled, partial, mismatched or wrongly reported as not run
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Deployments of real processes, background load and its accounting."""
