Begin an outage of the stand-in with the next write

Cause: an experiment that switches the table service off after the answer to an edit lets the entry read the store between commit and answer.

Change: the fault outage_after_write begins an outage as soon as a write has taken effect; refused transactions do not count.

Conclusion: the experiments can take the store away between the commit and the offers to the peers. Tests of the stand-in pass.

--- a/src/monsoonline/commands/standin.py
+++ b/src/monsoonline/commands/standin.py
@@ -41,8 +41,9 @@
 
     Everything is kept in memory. PUT /control/faults switches faults per service
     (tables, objects, machines), for example {"tables": {"outage": true}}; the faults
-    are outage, slow_ms, lose_responses and stale. GET /control/counters returns the
-    reads and writes, with the maximum in any window of 1 s.
+    are outage, outage_after_write, slow_ms, lose_responses and stale. GET
+    /control/counters returns the reads and writes, with the maximum in any window of
+    1 s.
     """
     platform = PlatformStandIn(host=host, port=port)
     if tables:
--- a/src/monsoonline/standin/faults.py
+++ b/src/monsoonline/standin/faults.py
@@ -15,6 +15,7 @@
     :param lose_responses: number of following writes that take effect while their
         response is lost
     :param stale: how many revisions (or earlier VM lists) reads lag behind
+    :param outage_after_write: begin an outage when the next write has taken effect
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -23,6 +24,7 @@
     slow_ms: float = pydantic.Field(default=0.0, ge=0)
     lose_responses: int = pydantic.Field(default=0, ge=0)
     stale: int = pydantic.Field(default=0, ge=0)
+    outage_after_write: bool = False
 
 
 class FaultSwitch:
@@ -44,6 +46,13 @@
             self._faults = faults
             self._responses_to_lose = faults.lose_responses
 
+    def record_write(self):
+        """Record that a write has taken effect; may begin an outage."""
+        with self._lock:
+            if self._faults.outage_after_write:
+                changes = {"outage": True, "outage_after_write": False}
+                self._faults = self._faults.model_copy(update=changes)
+
     def loses_response(self):
         """Return whether the response of the present write is lost."""
         with self._lock:
--- a/src/monsoonline/standin/platform.py
+++ b/src/monsoonline/standin/platform.py
@@ -137,6 +137,8 @@
         if switch.faults.outage:
             return json_answer(503, {"code": "unavailable"})
         answer = getattr(self, f"_serve_{service}")(request, parts, switch.faults)
+        if write and answer.status == 200:
+            switch.record_write()
         if write and switch.loses_response():
             # waitress closes the connection without a response.
             raise ClientDisconnected
--- a/tests/standin/test_platform.py
+++ b/tests/standin/test_platform.py
@@ -101,3 +101,15 @@
         self.assertEqual(self.call("PUT", "/control/faults", {"disk": {}})[0], 422)
         reads = self.call("GET", "/control/counters")[1]["reads"]
         self.assertEqual(reads["total"], 3)
+
+    def test_outage_begins_with_the_next_write_that_takes_effect(self):
+        self.call("PUT", "/control/faults", {"tables": {"outage_after_write": True}})
+        failing = transaction("1", ("t", "a", {}))
+        failing["conditions"] = [{"table": "t", "key": "b", "exists": True}]
+        status, _ = self.call("POST", "/v1/tables/transactions", failing)
+        self.assertEqual(status, 409)
+        self.assertEqual(self.call("GET", "/v1/tables/revision")[0], 200)
+        content = transaction("2", ("t", "a", {}))
+        status, _ = self.call("POST", "/v1/tables/transactions", content)
+        self.assertEqual(status, 200)
+        self.assertEqual(self.call("GET", "/v1/tables/revision")[0], 503)
