Add the experiment of racing editors to the fleet tools

Cause: the design asks for 1,000 edits by 8 racing operators of 4 departments with lost responses and outages, and a history that equals the accepted edits.

Change: "python -m tools.fleet editors" edits through the administration API of several entries while the stand-in loses responses and has outages. Each edit has its change id in its answer and its number in its content. The comparison counts lost, doubled, reordered, overwritten and unannounced edits.

--- a/tools/fleet/__main__.py
+++ b/tools/fleet/__main__.py
@@ -2,6 +2,7 @@
 
 import click
 from tools.fleet.control_cost import measure_control_cost
+from tools.fleet.editors import measure_editors
 from tools.fleet.propagation import CASES, measure_propagation
 from tools.fleet.replacement import measure_replacement
 from tools.fleet.report import finish
@@ -65,5 +66,14 @@
     finish("control-cost", {"seed": seed, **result}, bounds, output=output)
 
 
+@main.command()
+@fleet_options
+@click.option("--edits", default=1000, show_default=True)
+def editors(entries, seed, output, edits):
+    """Let 8 racing operators of 4 departments edit under faults."""
+    result, bounds = measure_editors(entries=entries, edits=edits, seed=seed)
+    finish("editors", result, bounds, output=output)
+
+
 if __name__ == "__main__":
     main()
