Hold the answer of a request that may have crashed an upstream

A caller that resent a crashing lookup at once met entries that had not yet learned of the crash by gossip. Change: the relay waits for hold_ms before it answers a request of which a connection was lost and which is suspected. Requests that another upstream completes are no suspects and are not held.

--- a/src/monsoonline/entry/outcomes.py
+++ b/src/monsoonline/entry/outcomes.py
@@ -161,6 +161,7 @@
         self._idempotent = idempotent
         self._attempts = 0
         self._may_have_run = False
+        self._connection_lost = False
         self._last = None
         self._excluded = frozenset()
 
@@ -174,6 +175,11 @@
         """Addresses that were tried."""
         return self._excluded
 
+    @property
+    def connection_lost(self):
+        """Whether an upstream's connection was lost in any attempt."""
+        return self._connection_lost
+
     @property
     def repeatable(self):
         """Whether another attempt cannot run the request a second time."""
@@ -193,6 +199,8 @@
         """Record the end of an attempt."""
         self._last = attempt
         self._may_have_run = self._may_have_run or attempt.may_have_run
+        if attempt.result.kind is AttemptKind.CONNECTION_LOST:
+            self._connection_lost = True
 
     def conclude(self):
         """Return the answer to the caller when no further attempt is made.
--- a/src/monsoonline/entry/relay.py
+++ b/src/monsoonline/entry/relay.py
@@ -182,7 +182,7 @@
             except Refusal:
                 # The earlier attempt says more than that no other was possible.
                 if history.attempts:
-                    return history.conclude()
+                    return self._conclude(history, fingerprint)
                 raise
             history.begin(assignment.upstream.address)
             if route.idempotent and route.tolerance.hedges:
@@ -191,9 +191,19 @@
                 attempt = self._attempt(route, request, assignment, deadline)
             history.add(attempt)
             if attempt.succeeded or not self._retry(route, attempt, deadline, history):
-                return history.conclude()
+                return self._conclude(history, fingerprint)
             self._metrics.count("retries_total", route=route.name)
 
+    def _conclude(self, history, fingerprint):
+        """Return the answer, late where the request may have crashed an upstream.
+
+        Its caller resends it through another entry when it has the answer, and that
+        entry must know of the crash by then.
+        """
+        if history.connection_lost:
+            self._clock.sleep(self._dispatcher.hold_ms(fingerprint))
+        return history.conclude()
+
     def _retry(self, route, attempt, deadline, history):
         return (
             history.repeatable
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -13,6 +13,7 @@
 from monsoonline.adapters.http_upstream import HttpUpstreamTransport
 from monsoonline.clock import SystemClock
 from monsoonline.core.balancing import Policy, policies
+from monsoonline.core.crashes import HOLD_MS
 from monsoonline.core.dispatch import Dispatcher
 from monsoonline.core.ledger import Ledger
 from monsoonline.core.model import (
@@ -316,6 +317,25 @@
         self.assertEqual(self.runs(), [1])
 
 
+class TestCrashingRequests(RelayCase):
+    """Answers to requests that may have crashed an upstream."""
+
+    def held_ms(self, *scripts):
+        """Send a lookup; return for how long its answer was held."""
+        self.start(*scripts)
+        held = []
+        with mock.patch.object(self.clock, "sleep", held.append):
+            self.lookup()
+        return sum(held)
+
+    def test_answer_is_held_until_other_entries_know_of_the_crash(self):
+        """Otherwise each entry loses upstreams to the same resent request."""
+        self.assertGreaterEqual(self.held_ms(lambda *_: CUT, lambda *_: CUT), HOLD_MS)
+
+    def test_request_that_another_upstream_completes_is_not_held(self):
+        self.assertEqual(self.held_ms(lambda *_: CUT, lambda *_: OK), 0.0)
+
+
 class TestHedges(RelayCase):
     """A slow idempotent attempt is duplicated."""
 
