Add "monsoonline bench capacity": slopes and their extrapolation

Cause: the requirements at the design size (4,800 targets, 300 services, 1.1 million calls/s) can only be checked from measured slopes, and so far only the tables and the decision time had any.

--- a/src/monsoonline/bench/ledger.py
+++ b/src/monsoonline/bench/ledger.py
@@ -13,7 +13,7 @@
 from monsoonline.core.ledger import Ledger, LedgerLimits
 from monsoonline.types import Answer
 
-__all__ = ["measure"]
+__all__ = ["bytes_per_answered_record", "measure"]
 
 RECORDS = 50_000
 ROUNDS = 5
@@ -29,20 +29,20 @@
     return (time.perf_counter() - started) / len(keys) * 1e6
 
 
-def new_ledger():
+def new_ledger(records=RECORDS):
     """Return an empty ledger and the keys and fingerprints to fill it."""
     ledger = Ledger(
         clock=SystemClock(),
-        limits=LedgerLimits(records=RECORDS, total_answer_bytes=1 << 30),
+        limits=LedgerLimits(records=records, total_answer_bytes=1 << 30),
     )
     token = ledger.token()
-    return ledger, [(f"{token}.{n:016x}", f"{n:032x}") for n in range(RECORDS)]
+    return ledger, [(f"{token}.{n:016x}", f"{n:032x}") for n in range(records)]
 
 
-def bytes_per_record(make_answer):
+def bytes_per_record(make_answer, records=RECORDS):
     """Return the memory of one record, its key and its answer."""
     tracemalloc.start()
-    ledger, keys = new_ledger()
+    ledger, keys = new_ledger(records)
     fill(ledger, keys, make_answer)
     del keys
     size = tracemalloc.get_traced_memory()[0]
@@ -50,6 +50,18 @@
     return size / ledger.record_count
 
 
+def bytes_per_answered_record(records=RECORDS):
+    """Return the memory of one record with a typical answer."""
+    return bytes_per_record(
+        lambda: Answer(
+            status=200,
+            headers=(("Content-Type", "application/json"),),
+            body=bytes(BODY_BYTES),
+        ),
+        records,
+    )
+
+
 def measure():
     """Measure and return the figures by name."""
     shared = Answer(status=200)
@@ -59,15 +71,7 @@
         "begin_finish_us_minimum": round(times[0], 2),
         "begin_finish_us_median": round(times[ROUNDS // 2], 2),
         "bytes_per_record": round(bytes_per_record(lambda: shared)),
-        f"bytes_per_record_answer_{BODY_BYTES}": round(
-            bytes_per_record(
-                lambda: Answer(
-                    status=200,
-                    headers=(("Content-Type", "application/json"),),
-                    body=bytes(BODY_BYTES),
-                )
-            )
-        ),
+        f"bytes_per_record_answer_{BODY_BYTES}": round(bytes_per_answered_record()),
     }
 
 
--- a/src/monsoonline/commands/bench.py
+++ b/src/monsoonline/commands/bench.py
@@ -16,6 +16,7 @@
     "run": "monsoonline.commands.bench_run",
     "relay": "monsoonline.commands.bench_relay",
     "control": "monsoonline.commands.bench_control",
+    "capacity": "monsoonline.commands.bench_capacity",
 }
 
 
