Answer every scrape of /metrics, not only the first

Cause: the collectors of a scrape were created without a registry, so aioprometheus put them into its global one as well and refused the same names at the next scrape. Every scrape of an entry after the first was answered with 500. No test scraped twice.

Change: the collectors are created in the registry of their scrape.

--- a/src/monsoonline/metrics.py
+++ b/src/monsoonline/metrics.py
@@ -127,6 +127,9 @@
         collectors = {}
         for (name, labels), value in series.items():
             if name not in collectors:
-                collectors[name] = kind(f"monsoonline_{name}", name.replace("_", " "))
-                registry.register(collectors[name])
+                # Without a registry the collector goes into the library's global one,
+                # which refuses the same name at the next scrape.
+                collectors[name] = kind(
+                    f"monsoonline_{name}", name.replace("_", " "), registry=registry
+                )
             collectors[name].set(dict(labels), value)
