Make a not-run refusal final for its key

Cause: the ledger released the record of a key that was refused as not run, so a copy of the request that was still in a socket buffer could start after its caller had been told that it did not run. Refusals by the admission check, an invalid deadline header and a missing route left no record either.

Change: Ledger.refuse replaces release_not_run. The record stays and holds the refusal, which resends get with a fresh token, here, through queries by other entries, and from the holders after a handover. Every refusal of a request with a key goes through the ledger. Without room for a record the refusal is 503 with outcome unknown; a key of a future window is refused with outcome unknown too, because no record can be kept for it. The caller library makes a new key from the token in the refusal, at most 8 keys per booking, honours Retry-After, and avoids entries that are paused, isolated or stopping.

--- a/src/monsoonline/adapters/key_messages.py
+++ b/src/monsoonline/adapters/key_messages.py
@@ -6,7 +6,13 @@
 
 import capnp
 
-from monsoonline.core.ledger import KeyState, KeyStatus, LedgerExport, answer_size
+from monsoonline.core.ledger import (
+    FinalRefusal,
+    KeyState,
+    KeyStatus,
+    LedgerExport,
+    answer_size,
+)
 from monsoonline.errors import MonsoonlineError
 from monsoonline.types import Answer
 
@@ -41,6 +47,7 @@
     KeyState.EXPIRED: "expired",
     KeyState.MISMATCH: "mismatch",
     KeyState.UNDECIDED: "undecided",
+    KeyState.REFUSED: "refused",
 }
 _STATES = {name: state for state, name in _STATE_NAMES.items()}
 
@@ -117,6 +124,26 @@
     )
 
 
+def _refusal_fields(refusal):
+    retry_after_ms = refusal.retry_after_ms
+    return {
+        "code": refusal.code,
+        "message": refusal.message,
+        "status": refusal.status,
+        "retryAfterMs": -1.0 if retry_after_ms is None else retry_after_ms,
+    }
+
+
+def _refusal_of(message):
+    retry_after_ms = message.retryAfterMs
+    return FinalRefusal(
+        code=message.code,
+        message=message.message,
+        status=message.status,
+        retry_after_ms=retry_after_ms if retry_after_ms >= 0 else None,
+    )
+
+
 def encode_query(query):
     """Encode a :class:`KeyQuery`."""
     message = _SCHEMA.KeyQuery.new_message(key=query.key, fingerprint=query.fingerprint)
@@ -140,6 +167,8 @@
     message = _SCHEMA.KeyReply.new_message(state=_STATE_NAMES[status.state])
     if status.answer is not None:
         message.answer = _answer_fields(status.answer)
+    if status.refusal is not None:
+        message.refusal = _refusal_fields(status.refusal)
     return message.to_bytes()
 
 
@@ -151,6 +180,8 @@
 
     def convert(message):
         state = _STATES[str(message.state)]
+        if state is KeyState.REFUSED:
+            return KeyStatus(state=state, refusal=_refusal_of(message.refusal))
         if state is not KeyState.FINISHED:
             return KeyStatus(state=state)
         return KeyStatus(state=state, answer=_answer_of(message.answer))
@@ -164,35 +195,40 @@
     :param export: the complete :class:`LedgerExport`
     :returns: tuple of :class:`HandoverPart`, at least one
     """
-    groups = [({}, [])]
+    groups = [{"finished": {}, "refused": {}, "running": {}}]
     size = 0
-    for key, (fingerprint, answer) in export.finished.items():
-        record_size = RECORD_OVERHEAD_BYTES + answer_size(answer)
+    for kind, key, record, record_size in _sized_records(export):
         if size + record_size > PART_BYTES:
-            groups.append(({}, []))
+            groups.append({"finished": {}, "refused": {}, "running": {}})
             size = 0
-        groups[-1][0][key] = (fingerprint, answer)
+        groups[-1][kind][key] = record
         size += record_size
-    for key in export.running:
-        if size + RECORD_OVERHEAD_BYTES > PART_BYTES:
-            groups.append(({}, []))
-            size = 0
-        groups[-1][1].append(key)
-        size += RECORD_OVERHEAD_BYTES
     transfer = secrets.randbits(64)
     return tuple(
         HandoverPart(
             transfer=transfer,
             export=dataclasses.replace(
-                export, finished=finished, running=tuple(running)
+                export, **(group | {"running": tuple(group["running"])})
             ),
             index=index,
             count=len(groups),
         )
-        for index, (finished, running) in enumerate(groups)
+        for index, group in enumerate(groups)
     )
 
 
+def _sized_records(export):
+    """Yield field of the export, key, record and size of each of its records."""
+    for key, record in export.finished.items():
+        yield "finished", key, record, RECORD_OVERHEAD_BYTES + answer_size(record[1])
+    for key, record in export.refused.items():
+        # The message is the only part whose length varies much.
+        size = RECORD_OVERHEAD_BYTES + len(record[1].message)
+        yield "refused", key, record, size
+    for key in export.running:
+        yield "running", key, None, RECORD_OVERHEAD_BYTES
+
+
 def encode_part(part):
     """Encode a :class:`HandoverPart`."""
     message = _SCHEMA.HandoverPart.new_message(
@@ -209,6 +245,14 @@
             }
             for key, (fingerprint, answer) in part.export.finished.items()
         ],
+        refused=[
+            {
+                "key": key,
+                "fingerprint": fingerprint,
+                "refusal": _refusal_fields(refusal),
+            }
+            for key, (fingerprint, refusal) in part.export.refused.items()
+        ],
         running=list(part.export.running),
     )
     return message.to_bytes()
@@ -229,6 +273,10 @@
             incarnation=message.incarnation,
             window=message.window,
             finished=finished,
+            refused={
+                record.key: (record.fingerprint, _refusal_of(record.refusal))
+                for record in message.refused
+            },
             running=tuple(message.running),
         )
         if message.index >= message.count:
--- a/src/monsoonline/adapters/keys.capnp
+++ b/src/monsoonline/adapters/keys.capnp
@@ -20,6 +20,14 @@
   expired @3;
   mismatch @4;
   undecided @5;
+  refused @6;
+}
+
+struct RecordedRefusal {
+  code @0 :Text;
+  message @1 :Text;
+  status @2 :UInt16;
+  retryAfterMs @3 :Float64 = -1;  # negative for none
 }
 
 struct KeyQuery {
@@ -30,6 +38,7 @@
 struct KeyReply {
   state @0 :State;
   answer @1 :RecordedAnswer;  # set only when finished
+  refusal @2 :RecordedRefusal;  # set only when refused
 }
 
 struct FinishedRecord {
@@ -38,6 +47,12 @@
   answer @2 :RecordedAnswer;
 }
 
+struct RefusedRecord {
+  key @0 :Text;
+  fingerprint @1 :Text;
+  refusal @2 :RecordedRefusal;
+}
+
 struct HandoverPart {
   incarnation @0 :Text;
   window @1 :UInt64;
@@ -46,6 +61,7 @@
   finished @4 :List(FinishedRecord);
   running @5 :List(Text);
   transfer @6 :UInt64;  # random; tells the parts of different handovers apart
+  refused @7 :List(RefusedRecord);
 }
 
 struct HandoverReply {
--- a/src/monsoonline/caller.py
+++ b/src/monsoonline/caller.py
@@ -21,19 +21,18 @@
 
 KEY_HEADER = "Monsoonline-Key"
 OUTCOME_HEADER = "Monsoonline-Outcome"
+TOKEN_HEADER = "Monsoonline-Token"
 CONTROL_TIMEOUT_MS = 1000.0
 RESEND_PAUSE_MS = 50.0
 MAX_IDLE_CONNECTIONS = 8
-# After these refusals the key can never start, so a new key cannot cause a second
-# run. After any other not-run refusal a delayed duplicate of the request could still
-# start the old key at its owner; the booking then goes on with the same key.
-FENCED_CODES = frozenset(
-    ("key-of-another-entry", "key-fenced", "entry-stopping", "key-required")
-)
+# Bounds the new attempts of one booking that is refused again and again.
+MAX_KEYS = 8
+# Refusals below 500 are faults of the request, except these, which are about its key.
+FENCED_CODES = frozenset(("key-of-another-entry", "key-fenced"))
+# The entry refuses all bookings for a while, so the new key is made for another one.
+AVOIDED_CODES = frozenset(("entry-paused", "entry-stopping", "isolated"))
 # A resend may change the outcome of these; other unknown outcomes are recorded.
-PENDING_CODES = frozenset(("key-running", "key-owner-unreachable"))
-# The owner will not start the key soon; another entry can have it fenced.
-ELSEWHERE_CODES = PENDING_CODES | {"entry-paused", "isolated", "records-full"}
+PENDING_CODES = frozenset(("key-running", "key-owner-unreachable", "records-full"))
 
 
 class NoEntry(MonsoonlineError):
@@ -130,6 +129,7 @@
     :param attempts: exchanges so far
     :param lost: whether an exchange of this key was lost after it was sent
     :param last: the last response with this key
+    :param refused: the refusal of the key before this one
     """
 
     key: str
@@ -138,6 +138,7 @@
     attempts: int = 0
     lost: bool = False
     last: Reply | None = None
+    refused: Reply | None = None
 
     @property
     def sent(self):
@@ -225,7 +226,7 @@
                     continue
                 if reply.header(OUTCOME_HEADER) is None or reply.status < 500:
                     return result_of(reply, attempts=attempts)
-            self._pause(reply, deadline)
+            self._pause(reply.retry_after_ms if reply else 0.0, deadline)
         if reply is not None:
             return result_of(reply, attempts=attempts)
         status = CallStatus.UNKNOWN if sent else CallStatus.REFUSED_NOT_RUN
@@ -234,42 +235,79 @@
     def book(self, method, target, *, headers=(), body=b""):
         """Send a request that must run at most once.
 
-        Resends carry the same key, to the same entry first, then to others. A new
-        key is made only when the old one can never start.
+        Resends carry the same key, to the same entry first, then to others. A
+        not-run refusal is final for its key, so the booking goes on with a new key.
 
         :returns: :class:`CallResult`
         """
         deadline = self._clock.now() + self._timeout_ms
         progress = self._mint(deadline)
         while self._clock.now() < deadline:
-            for address in self._booking_order(progress):
-                if self._clock.now() >= deadline:
-                    break
-                pairs = (*headers, (KEY_HEADER, progress.key))
-                progress.attempts += 1
-                try:
-                    reply = self._exchange(
-                        address, method, target, pairs, body, deadline
-                    )
-                except ExchangeLost as error:
-                    progress.lost = progress.lost or error.sent
-                    continue
-                progress.last = reply
-                if self._is_final(reply):
-                    return booking_result(progress)
-                if reply.code in FENCED_CODES:
-                    progress = self._mint(deadline, progress)
-                    break
-                if reply.code not in ELSEWHERE_CODES:
-                    break
-            else:
-                if not progress.sent:
-                    # No entry can have received the key, so a new one is safe; the
-                    # old one's owner may be gone.
-                    progress = self._mint(deadline, progress)
-            self._pause(progress.last, deadline)
+            address = self._send_round(
+                progress, method, target, headers, body, deadline
+            )
+            reply = progress.last
+            if address is not None and not self._may_go_on(progress, deadline):
+                break
+            self._pause(self._retry_wait_ms(reply), deadline)
+            if address is not None:
+                progress = self._renew(progress, address, deadline)
+            elif not progress.sent:
+                # No entry can have received the key, so a new one is safe; the old
+                # one's owner may be gone.
+                progress = self._mint(deadline, progress)
         return booking_result(progress)
 
+    def _send_round(self, progress, method, target, headers, body, deadline):
+        """Send a key to its owner, then to others, until its outcome is settled.
+
+        :returns: address of the entry that settled it, ``None`` when none did
+        """
+        for address in self._booking_order(progress):
+            if self._clock.now() >= deadline:
+                break
+            pairs = (*headers, (KEY_HEADER, progress.key))
+            progress.attempts += 1
+            try:
+                reply = self._exchange(address, method, target, pairs, body, deadline)
+            except ExchangeLost as error:
+                progress.lost = progress.lost or error.sent
+                continue
+            progress.last = reply
+            if reply.code not in PENDING_CODES:
+                return address
+        return None
+
+    def _may_go_on(self, progress, deadline):
+        """Tell whether a settled key may be followed by a new one in time."""
+        reply = progress.last
+        if reply.header(OUTCOME_HEADER) != "not-run":
+            return False
+        if reply.status < 500 and reply.code not in FENCED_CODES:
+            return False
+        in_time = self._clock.now() + self._retry_wait_ms(reply) < deadline
+        return in_time and len(progress.keys) < MAX_KEYS
+
+    def _retry_wait_ms(self, reply):
+        if reply is None:
+            return 0.0
+        # Retry-After is about the entry that refused, not about the next one.
+        elsewhere = reply.code in AVOIDED_CODES and len(self._entries) > 1
+        return 0.0 if elsewhere else reply.retry_after_ms
+
+    def _renew(self, progress, address, deadline):
+        """Make the next key, from the token in the refusal where that entry may serve.
+
+        :param address: the entry that refused
+        """
+        reply = progress.last
+        if reply.code in AVOIDED_CODES:
+            return self._mint(deadline, progress, avoided=address)
+        token = reply.header(TOKEN_HEADER)
+        if token is None:
+            return self._mint(deadline, progress)
+        return self._progress_of(token, address, progress)
+
     def resend(self, address, key, method, target, *, headers=(), body=b""):
         """Send a booking's key once more through one entry, to learn its outcome.
 
@@ -288,48 +326,46 @@
             progress.lost = error.sent
         return booking_result(progress)
 
-    @staticmethod
-    def _is_final(reply):
-        outcome = reply.header(OUTCOME_HEADER)
-        if outcome is None:
-            return True
-        if outcome == "unknown":
-            return reply.code not in PENDING_CODES
-        # Other refusals below 500 are faults of the request itself.
-        return reply.status < 500 and reply.code not in FENCED_CODES
-
     def _booking_order(self, progress):
         others = [a for a in self.entries() if a != progress.owner]
         return [progress.owner, *others]
 
-    def _mint(self, deadline, progress=None):
+    def _mint(self, deadline, progress=None, *, avoided=None):
         """Make a key from the token of a preferred entry.
 
         :param progress: the booking so far, ``None`` for a new one
+        :param avoided: address that is asked last
         :raises NoEntry: when no entry gives a token
         """
         while True:
-            for address in self.entries():
+            for address in sorted(self.entries(), key=lambda a: a == avoided):
                 try:
                     reply = self._exchange(address, "GET", TOKEN_PATH, (), b"", None)
                     token = orjson.loads(reply.body)["token"]
                 except (ExchangeLost, orjson.JSONDecodeError, KeyError):
                     continue
-                key = f"{token}.{secrets.token_hex(8)}"
-                return Progress(
-                    key=key,
-                    owner=address,
-                    keys=[*(progress.keys if progress else ()), key],
-                    attempts=progress.attempts if progress else 0,
-                )
+                return self._progress_of(token, address, progress)
             self._expires = float("-inf")
             if self._clock.now() >= deadline:
                 raise NoEntry("no entry gave a token")
             self._clock.sleep(RESEND_PAUSE_MS)
 
-    def _pause(self, reply, deadline):
+    @staticmethod
+    def _progress_of(token, address, progress):
+        key = f"{token}.{secrets.token_hex(8)}"
+        if progress is None:
+            return Progress(key=key, owner=address, keys=[key])
+        return Progress(
+            key=key,
+            owner=address,
+            keys=[*progress.keys, key],
+            attempts=progress.attempts,
+            refused=progress.last or progress.refused,
+        )
+
+    def _pause(self, wait_ms, deadline):
         """Wait before the next round, at least as long as ``Retry-After`` asks."""
-        wanted = max(RESEND_PAUSE_MS, reply.retry_after_ms if reply else 0.0)
+        wanted = max(RESEND_PAUSE_MS, wait_ms)
         self._clock.sleep(max(0.0, min(wanted, deadline - self._clock.now())))
 
     def _discover(self):
@@ -432,16 +468,13 @@
 def booking_result(progress):
     """Return the :class:`CallResult` of a booking.
 
-    A not-run refusal does not settle a key of which an exchange was lost, since a
-    delayed copy of that exchange may still start it.
+    A not-run refusal settles its key, also where an exchange of the key was lost.
     """
-    if progress.last is not None:
-        result = result_of(
-            progress.last, attempts=progress.attempts, keys=progress.keys
-        )
-        if progress.lost and result.call_status is CallStatus.REFUSED_NOT_RUN:
-            return dataclasses.replace(result, call_status=CallStatus.UNKNOWN)
-        return result
+    reply = progress.last
+    if reply is None and not progress.lost:
+        reply = progress.refused
+    if reply is not None:
+        return result_of(reply, attempts=progress.attempts, keys=progress.keys)
     status = CallStatus.UNKNOWN if progress.lost else CallStatus.REFUSED_NOT_RUN
     return CallResult(
         call_status=status,
--- a/src/monsoonline/core/ledger.py
+++ b/src/monsoonline/core/ledger.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "AdoptedRecords",
+    "FinalRefusal",
     "Key",
     "KeyState",
     "KeyStatus",
@@ -34,6 +35,11 @@
 KEY_FORMAT = "<token>.<random> with 1 to 64 letters, digits, '-' or '_'"
 # A tombstone shares no request's fingerprint.
 TOMBSTONE = "tombstone"
+EXPIRED_CODE = "key-expired"
+# Refusals differ in few ways, so records share them; more variants than this are
+# kept one by one.
+SHARED_REFUSALS = 256
+REFUSAL_MESSAGE_CHARACTERS = 200
 
 
 class KeyState(enum.Enum):
@@ -41,23 +47,67 @@
 
     FINISHED = "finished"
     RUNNING = "running"
+    REFUSED = "refused"
     NEVER_STARTED = "never-started"
     EXPIRED = "expired"
     MISMATCH = "mismatch"
     UNDECIDED = "undecided"
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FinalRefusal:
+    """The ``NOT_RUN`` refusal recorded for a key; the key never starts.
+
+    :param code: stable short name of the cause
+    :param message: text for people
+    :param status: HTTP status code
+    :param retry_after_ms: when to try again with a new key, or ``None``
+    """
+
+    code: str
+    message: str
+    status: int
+    retry_after_ms: float | None = None
+
+    @classmethod
+    def of(cls, refusal):
+        """Return the record of a :class:`monsoonline.errors.Refusal`.
+
+        :raises ValueError: when its outcome is not ``NOT_RUN``
+        """
+        if refusal.outcome is not Outcome.NOT_RUN:
+            raise ValueError(f"outcome is {refusal.outcome!r}, expected NOT_RUN")
+        return cls(
+            code=refusal.code,
+            message=refusal.message[:REFUSAL_MESSAGE_CHARACTERS],
+            status=refusal.status,
+            retry_after_ms=refusal.retry_after_ms,
+        )
+
+    def to_refusal(self):
+        """Return a new :class:`monsoonline.errors.Refusal` to raise."""
+        return Refusal(
+            self.message,
+            code=self.code,
+            outcome=Outcome.NOT_RUN,
+            status=self.status,
+            retry_after_ms=self.retry_after_ms,
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class KeyStatus:
     """Reply to a query about a key.
 
-    :param state: what is known; only ``NEVER_STARTED`` promises that the key never
-        starts
+    :param state: what is known; only ``NEVER_STARTED`` and ``REFUSED`` promise that
+        the key never starts
     :param answer: the recorded answer of a finished key
+    :param refusal: the recorded :class:`FinalRefusal` of a refused key
     """
 
     state: KeyState
     answer: Answer | None = None
+    refusal: FinalRefusal | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,7 +126,7 @@
 class LedgerLimits:
     """Bounds of the memory that records take.
 
-    :param records: number of keys kept, running or finished
+    :param records: number of keys kept: running, finished or refused
     :param tombstones: number of tombstones; a limit of their own keeps queries for
         keys that were never sent from taking the room of bookings
     :param answer_bytes: largest recorded answer
@@ -91,16 +141,17 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Record:
-    """State of one started key.
+    """State of one key that was started or refused.
 
-    :param fingerprint: digest of the request that started it
-    :param answer: the recorded answer, ``None`` while the request runs
+    :param fingerprint: digest of the request that came with it
+    :param result: the recorded :class:`monsoonline.types.Answer` or
+        :class:`FinalRefusal`, ``None`` while the request runs
     :param changed: created by the first resend that waits, since an event per
         record would triple the memory
     """
 
     fingerprint: str
-    answer: Answer | None = None
+    result: Answer | FinalRefusal | None = None
     changed: threading.Event | None = None
 
 
@@ -111,14 +162,28 @@
     :param incarnation: whose records these are
     :param window: the window in which it closed
     :param finished: fingerprint and answer by key
+    :param refused: fingerprint and :class:`FinalRefusal` by key
     :param running: keys whose outcome was not known at the export
     """
 
     incarnation: str
     window: int
     finished: dict[str, tuple[str, Answer]]
+    refused: dict[str, tuple[str, FinalRefusal]] = dataclasses.field(
+        default_factory=dict
+    )
     running: tuple[str, ...] = ()
 
+    @property
+    def record_count(self):
+        """Number of settled keys."""
+        return len(self.finished) + len(self.refused)
+
+    def find(self, key):
+        """Return the :class:`Record` of a settled key, or ``None``."""
+        found = self.finished.get(key) or self.refused.get(key)
+        return found and Record(fingerprint=found[0], result=found[1])
+
 
 def parse_key(key):
     """Split a key into its parts.
@@ -152,7 +217,7 @@
     """Return the refusal of a key whose records are no longer kept."""
     return Refusal(
         "the key is older than the records kept; the request may have run",
-        code="key-expired",
+        code=EXPIRED_CODE,
         outcome=Outcome.UNKNOWN,
         status=409,
     )
@@ -189,7 +254,11 @@
 
 
 class Ledger:
-    """Records of the keys that this incarnation started.
+    """Records of the keys that this incarnation started or refused.
+
+    A ``NOT_RUN`` refusal is final for its key: the record stays, so a copy of the
+    request that is still in a socket buffer cannot run after its caller was told that
+    it did not.
 
     :param clock: source of time
     :param incarnation: 64 random bits in hexadecimal, drawn when not given
@@ -209,6 +278,7 @@
         self._record_count = 0
         self._tombstone_count = 0
         self._answer_bytes = 0
+        self._shared_refusals = {}
         self._closed = False
         self._lock = threading.Lock()
 
@@ -254,8 +324,8 @@
         :param deadline: instant in ms until which a running record is awaited
         :returns: ``None`` when the caller of this method shall run the request,
             otherwise the recorded answer
-        :raises Refusal: when the key may not start here, is used for another request,
-            or has no answer by the deadline
+        :raises Refusal: when the key may not start here, was refused, is used for
+            another request, or has no answer by the deadline
         """
         parsed = parse_key(key)
         if parsed.incarnation != self._incarnation:
@@ -272,8 +342,10 @@
                     self._start(key, parsed, fingerprint)
                     return None
                 self._check_fingerprint(record, fingerprint)
-                if record.answer is not None:
-                    return record.answer
+                if isinstance(record.result, FinalRefusal):
+                    raise record.result.to_refusal()
+                if record.result is not None:
+                    return record.result
                 if record.changed is None:
                     record.changed = threading.Event()
             remaining_ms = deadline - self._clock.now()
@@ -284,7 +356,7 @@
         """Record the answer of a key that ran; also that of an unknown outcome."""
         with self._lock:
             record = self._windows.get(parse_key(key).window, {}).get(key)
-            if record is None or record.answer is not None:
+            if record is None or record.result is not None:
                 return
             size = answer_size(answer)
             total = self._answer_bytes + size
@@ -295,19 +367,25 @@
                 answer = unkept_answer(answer)
                 size = answer_size(answer)
             self._answer_bytes += size
-            record.answer = answer
+            record.result = answer
             self._wake(record)
 
-    def release_not_run(self, key):
-        """Forget a key whose request certainly did not run.
+    def refuse(self, key, refusal):
+        """Record that a begun key certainly did not run, and never will.
 
-        A resend that waits for it starts the key itself.
+        :param key: a key that :meth:`begin` started
+        :param refusal: ``NOT_RUN`` :class:`monsoonline.errors.Refusal`, which resends
+            get too
+        :raises ValueError: when the outcome is not ``NOT_RUN``
         """
+        final = FinalRefusal.of(refusal)
         with self._lock:
-            record = self._windows.get(parse_key(key).window, {}).pop(key, None)
-            if record is not None:
-                self._record_count -= 1
-                self._wake(record)
+            # A key whose window has expired meanwhile has no record and cannot start.
+            record = self._windows.get(parse_key(key).window, {}).get(key)
+            if record is None or record.result is not None:
+                return
+            record.result = self._share(final)
+            self._wake(record)
 
     def query(self, key, fingerprint=None):
         """Tell another entry about a key; fence a key that has not started.
@@ -324,8 +402,8 @@
             try:
                 record = self._find(key, parsed)
             except Refusal as refusal:
-                future = refusal.outcome is Outcome.NOT_RUN
-                state = KeyState.UNDECIDED if future else KeyState.EXPIRED
+                expired = refusal.code == EXPIRED_CODE
+                state = KeyState.EXPIRED if expired else KeyState.UNDECIDED
                 return KeyStatus(state=state)
             if record is None:
                 return KeyStatus(state=self._fence(key, parsed))
@@ -347,17 +425,21 @@
             if not self._closed:
                 raise RuntimeError("close() the ledger before export()")
             finished = {}
+            refused = {}
             running = []
             for records in self._windows.values():
                 for key, record in records.items():
-                    if record.answer is not None:
-                        finished[key] = (record.fingerprint, record.answer)
+                    if isinstance(record.result, FinalRefusal):
+                        refused[key] = (record.fingerprint, record.result)
+                    elif record.result is not None:
+                        finished[key] = (record.fingerprint, record.result)
                     elif record.fingerprint != TOMBSTONE:
                         running.append(key)
             return LedgerExport(
                 incarnation=self._incarnation,
                 window=self.window,
                 finished=finished,
+                refused=refused,
                 running=tuple(running),
             )
 
@@ -365,10 +447,12 @@
         current = self.window
         self._expire(current)
         if parsed.window > current:
+            # No record: it would have to be kept until the window has passed, which
+            # may be years. Without one the key may start later.
             raise Refusal(
                 f"window {parsed.window!r} has not begun, expected at most {current}",
                 code="key-future",
-                outcome=Outcome.NOT_RUN,
+                outcome=Outcome.UNKNOWN,
                 status=400,
             )
         if parsed.window < current - RETENTION_WINDOWS:
@@ -384,19 +468,31 @@
                 outcome=Outcome.NOT_RUN,
                 status=503,
             )
-        if self._admission is not None:
-            self._admission()
         if self._record_count >= self._limits.records:
+            # Not-run would need a record, or a copy could start when there is room.
             raise Refusal(
                 f"all {self._limits.records} records are in use",
                 code="records-full",
-                outcome=Outcome.NOT_RUN,
+                outcome=Outcome.UNKNOWN,
                 status=503,
                 retry_after_ms=WINDOW_MS,
             )
-        records = self._windows.setdefault(parsed.window, {})
-        records[key] = Record(fingerprint=fingerprint)
+        refusal = self._admission_refusal()
+        record = Record(fingerprint=fingerprint)
+        if refusal is not None:
+            record.result = self._share(FinalRefusal.of(refusal))
+        self._windows.setdefault(parsed.window, {})[key] = record
         self._record_count += 1
+        if refusal is not None:
+            raise refusal
+
+    def _admission_refusal(self):
+        try:
+            if self._admission is not None:
+                self._admission()
+        except Refusal as refusal:
+            return refusal
+        return None
 
     def _fence(self, key, parsed):
         if self._closed:
@@ -418,8 +514,13 @@
                     self._tombstone_count -= 1
                     continue
                 self._record_count -= 1
-                if record.answer is not None:
-                    self._answer_bytes -= answer_size(record.answer)
+                if isinstance(record.result, Answer):
+                    self._answer_bytes -= answer_size(record.result)
+
+    def _share(self, final):
+        if len(self._shared_refusals) < SHARED_REFUSALS:
+            return self._shared_refusals.setdefault(final, final)
+        return self._shared_refusals.get(final, final)
 
     @staticmethod
     def _check_fingerprint(record, fingerprint):
@@ -445,9 +546,11 @@
         return KeyStatus(state=KeyState.NEVER_STARTED)
     if fingerprint is not None and record.fingerprint != fingerprint:
         return KeyStatus(state=KeyState.MISMATCH)
-    if record.answer is None:
+    if record.result is None:
         return KeyStatus(state=KeyState.RUNNING)
-    return KeyStatus(state=KeyState.FINISHED, answer=record.answer)
+    if isinstance(record.result, FinalRefusal):
+        return KeyStatus(state=KeyState.REFUSED, refusal=record.result)
+    return KeyStatus(state=KeyState.FINISHED, answer=record.result)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -484,7 +587,7 @@
 
     @property
     def record_count(self):
-        """Number of finished records kept."""
+        """Number of finished and refused records kept."""
         return self._record_count
 
     def add_part(self, part, *, transfer, index, count):
@@ -506,13 +609,15 @@
                 return True
             size = sum(answer_size(answer) for _, answer in part.finished.values())
             if (
-                self._record_count + len(part.finished) > self._limits.records
+                self._record_count + part.record_count > self._limits.records
                 or self._answer_bytes + size > self._limits.total_answer_bytes
             ):
                 return False
             if adoption is None:
                 adoption = Adoption(
-                    export=dataclasses.replace(part, finished={}, running=()),
+                    export=dataclasses.replace(
+                        part, finished={}, refused={}, running=()
+                    ),
                     adopted_at=self._clock.now(),
                     missing=set(range(count)),
                 )
@@ -520,10 +625,11 @@
             adoption.export = dataclasses.replace(
                 adoption.export,
                 finished=adoption.export.finished | part.finished,
+                refused=adoption.export.refused | part.refused,
                 running=adoption.export.running + part.running,
             )
             adoption.missing.discard(index)
-            self._record_count += len(part.finished)
+            self._record_count += part.record_count
             self._answer_bytes += size
             return True
 
@@ -544,9 +650,8 @@
             if parsed.window < oldest:
                 return KeyStatus(state=KeyState.EXPIRED)
             for adoption in adoptions:
-                if key in adoption.export.finished:
-                    recorded, answer = adoption.export.finished[key]
-                    record = Record(fingerprint=recorded, answer=answer)
+                record = adoption.export.find(key)
+                if record is not None:
                     return status_of(record, fingerprint)
             running = any(key in a.export.running for a in adoptions)
             undecided = running or all(a.missing for a in adoptions)
@@ -575,8 +680,8 @@
         now = self._clock.now()
         for identity, adoption in list(self._adoptions.items()):
             if now - adoption.adopted_at > kept_ms:
-                finished = self._adoptions.pop(identity).export.finished
-                self._record_count -= len(finished)
+                export = self._adoptions.pop(identity).export
+                self._record_count -= export.record_count
                 self._answer_bytes -= sum(
-                    answer_size(answer) for _, answer in finished.values()
+                    answer_size(answer) for _, answer in export.finished.values()
                 )
--- a/src/monsoonline/entry/keys.py
+++ b/src/monsoonline/entry/keys.py
@@ -58,7 +58,7 @@
     """What became of a stopping entry's records.
 
     :param holders: names of the members that hold all of them
-    :param records: number of finished records, adopted ones included
+    :param records: number of settled records, adopted ones included
     :param running: number of keys whose outcome was not known
     """
 
@@ -108,9 +108,9 @@
         """Record the answer of a key that ran here."""
         self._ledger.finish(key, answer)
 
-    def release_not_run(self, key):
-        """Forget a key whose request certainly did not run."""
-        self._ledger.release_not_run(key)
+    def refuse(self, key, refusal):
+        """Record that a key begun here certainly did not run, and never will."""
+        self._ledger.refuse(key, refusal)
 
     def begin(self, key, fingerprint, *, deadline):
         """Open the record of an own key, or find out about another entry's.
@@ -152,7 +152,7 @@
                 self._announce(export.incarnation, export.incarnation, holders)
         result = HandoverResult(
             holders=tuple(member.name for member in holders),
-            records=sum(len(export.finished) for export in exports),
+            records=sum(export.record_count for export in exports),
             running=len(exports[0].running),
         )
         logger.info("records handed over", extra=dataclasses.asdict(result))
@@ -161,6 +161,8 @@
     def _conclude(self, status):
         if status.state is KeyState.FINISHED:
             return status.answer
+        if status.state is KeyState.REFUSED:
+            raise status.refusal.to_refusal()
         if status.state is KeyState.NEVER_STARTED:
             raise Refusal(
                 "the key belongs to another entry, which has not started it",
--- a/src/monsoonline/entry/relay.py
+++ b/src/monsoonline/entry/relay.py
@@ -43,6 +43,16 @@
     return digest.hexdigest()
 
 
+def no_route_refusal(request):
+    """Return the refusal of a request that no route matches."""
+    return Refusal(
+        f"no route matches {request.method} {request.path!r}",
+        code="no-route",
+        outcome=Outcome.NOT_RUN,
+        status=404,
+    )
+
+
 def deadline_of(route, request, started):
     """Return the instant in ms until which the caller waits.
 
@@ -134,37 +144,47 @@
         return refusal_answer(refusal, token=self._ledger.token())
 
     def _serve(self, route, request, started):
-        if route is None:
-            raise Refusal(
-                f"no route matches {request.method} {request.path!r}",
-                code="no-route",
-                outcome=Outcome.NOT_RUN,
-                status=404,
-            )
-        deadline = deadline_of(route, request, started)
-        if route.idempotent:
+        if route is not None and route.idempotent:
+            deadline = deadline_of(route, request, started)
             return self._run(route, request, deadline, fingerprint_of(request))
-        return self._run_once(route, request, deadline)
-
-    def _run_once(self, route, request, deadline):
         key = request.header(KEY_HEADER)
-        if key is None:
-            raise Refusal(
-                f"route {route.name!r} needs the header {KEY_HEADER}",
-                code="key-required",
-                outcome=Outcome.NOT_RUN,
-                status=428,
-            )
+        if key is not None:
+            return self._run_once(route, request, started, key)
+        if route is None:
+            raise no_route_refusal(request)
+        raise Refusal(
+            f"route {route.name!r} needs the header {KEY_HEADER}",
+            code="key-required",
+            outcome=Outcome.NOT_RUN,
+            status=428,
+        )
+
+    def _run_once(self, route, request, started, key):
+        """Run a request with a key, or find out what became of it.
+
+        Faults of the request itself are recorded too: a copy that arrives later may
+        meet newer tables, which have a route for it.
+        """
         fingerprint = fingerprint_of(request)
+        fault = None
+        deadline = started
+        try:
+            if route is None:
+                raise no_route_refusal(request)
+            deadline = deadline_of(route, request, started)
+        except Refusal as refusal:
+            fault = refusal
         recorded = self._ledger.begin(key, fingerprint, deadline=deadline)
         if recorded is not None:
             return recorded
         # The record is settled whatever happens, or resends would wait for ever.
         try:
+            if fault is not None:
+                raise fault
             answer = self._run(route, request, deadline, fingerprint)
         except Refusal as refusal:
             if refusal.outcome is Outcome.NOT_RUN:
-                self._ledger.release_not_run(key)
+                self._ledger.refuse(key, refusal)
             else:
                 self._ledger.finish(key, refusal_answer(refusal))
             raise
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -16,6 +16,10 @@
 DONE = Answer(
     status=201, reason="Created", headers=(("X-A", "1"), ("X-A", "2")), body=b"\0booked"
 )
+NO_SLOT = Refusal(
+    "no slot", code="no-slot", outcome=Outcome.NOT_RUN, status=503, retry_after_ms=2e3
+)
+REFUSED = ("no-slot", Outcome.NOT_RUN)
 UNREACHABLE = ("key-owner-unreachable", Outcome.UNKNOWN)
 FENCED = ("key-of-another-entry", Outcome.NOT_RUN)
 
@@ -55,6 +59,10 @@
         assert self.keys.begin(key, "f", deadline=0) is None
         self.keys.finish(key, answer)
 
+    def refuse(self, key):
+        assert self.keys.begin(key, "f", deadline=0) is None
+        self.keys.refuse(key, NO_SLOT)
+
     def begin(self, key, fingerprint="f", wait_ms=50.0):
         """Return the answer, or code and outcome of the refusal."""
         deadline = self.clock.now() + wait_ms
@@ -96,6 +104,18 @@
         self.assertEqual(self.second.begin(key), DONE)
         self.assertEqual(self.second.begin(key, "g"), ("key-reused", Outcome.NOT_RUN))
 
+    def test_refused_key_gets_its_refusal_elsewhere(self):
+        """Unknown would leave a caller without its booking for no reason."""
+        key = self.owner.key()
+        self.owner.refuse(key)
+        with self.assertRaises(Refusal) as caught:
+            self.second.keys.begin(key, "f", deadline=self.owner.clock.now() + 50.0)
+        refusal = caught.exception
+        self.assertEqual((refusal.code, refusal.outcome), REFUSED)
+        self.assertEqual((refusal.status, refusal.retry_after_ms), (503, 2000.0))
+        self.assertEqual(self.second.begin(key, "g"), ("key-reused", Outcome.NOT_RUN))
+        self.assertEqual(self.owner.begin(key), REFUSED)
+
     def test_key_that_never_started_is_fenced_before_not_run_is_told(self):
         """The first request arrives at its owner after the resend elsewhere."""
         key = self.owner.key()
@@ -187,6 +207,19 @@
         self.assertEqual(late, ("entry-stopping", Outcome.NOT_RUN))
         self.assertEqual(self.second.begin(self.owner.key("late")), FENCED)
 
+    def test_refused_keys_are_handed_over(self):
+        """Through all entries, so that the last one still knows the refusal."""
+        keys = [self.owner.key(str(number)) for number in range(1500)]
+        for key in keys:
+            self.owner.refuse(key)
+        self.assertEqual(self.stop(self.owner).records, 1500)
+        for entry in (self.second, self.third):
+            self.assertEqual({entry.begin(key) for key in keys}, {REFUSED})
+        newcomer = Entry(self.hub, "four")
+        self.stop(self.second)
+        self.stop(self.third)
+        self.assertEqual(newcomer.begin(keys[-1]), REFUSED)
+
     def test_key_running_at_a_forced_stop_stays_unknown(self):
         key = self.owner.key()
         self.owner.begin(key)
