Let gossip, isolation and the number of entries take effect at once

Cause: the entry never told its configuration what gossip brought. A newer revision waited for the next poll, bookings started while the entry was isolated, and the connection limit, a share over the entries, was recomputed only with new tables, so the shares added up to too much after a start.

Change: the service refuses bookings as not run with code isolated while the configuration serves no non-idempotent requests. A revision heard by gossip starts a poll, and load items of peers count as contact. The connection share follows the ready and leaving entries. Since gossip now keeps an entry from being silent, a paused entry asks a peer when the store does not reply; otherwise its pause would not end while the store is unavailable.

Conclusion: the tests bring about each case.

--- a/src/monsoonline/core/configuration.py
+++ b/src/monsoonline/core/configuration.py
@@ -322,12 +322,16 @@
         elif others and not self._joined:
             # A first read of the store may be stale; peers would know better.
             asked = self._choose(others, JOIN_PEERS)
-        elif others and not store_heard and self._contact.silent_ms > KEEPALIVE_MS:
+        elif others and not store_heard and self._must_ask():
             asked = self._choose(others, 1)
         else:
             return False
         return any([self._catch_up_from(member) for member in asked])
 
+    def _must_ask(self):
+        # Gossip ends the silence, but only a comparison of the tables ends a pause.
+        return self._contact.paused or self._contact.silent_ms > KEEPALIVE_MS
+
     def _choose(self, members, count):
         chosen = self._generator.permutation(len(members))[:count]
         return [members[index] for index in chosen]
--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -24,15 +24,18 @@
 from monsoonline.entry.operations import Operations
 from monsoonline.entry.probes import Prober
 from monsoonline.entry.relay import Relay
-from monsoonline.entry.sharing import Sharing
+from monsoonline.entry.sharing import LOAD_KIND, Sharing
+from monsoonline.errors import Refusal
 from monsoonline.metrics import Metrics
 from monsoonline.ports import Member
+from monsoonline.types import Outcome
 
 __all__ = ["EntryService"]
 
 STATE_INTERVAL_MS = 100.0
 VM_LIST_INTERVAL_MS = 2000.0
 OPERATIONS_WORKERS = 64
+ISOLATED_RETRY_MS = 1000.0
 
 logger = logging.getLogger(__name__)
 
@@ -64,7 +67,7 @@
             workers=settings.workers,
         )
         self._lifecycle = self._make_lifecycle()
-        self._ledger = Ledger(clock=self._clock, admission=self._lifecycle.admit)
+        self._ledger = Ledger(clock=self._clock, admission=self._admit)
         self._platform = PlatformClient(
             url=settings.platform.url,
             clock=self._clock,
@@ -81,6 +84,10 @@
         )
         self._store = HttpTableStore(client=self._platform)
         self._configuration = self._make_configuration()
+        if self._peers is not None:
+            self._peers.subscribe(LOAD_KIND, self._hear_item)
+        self._share_lock = threading.Lock()
+        self._share = 0
         self._dispatcher = Dispatcher(clock=self._clock, owner=self.incarnation)
         self._transport = HttpUpstreamTransport(
             clock=self._clock, count=self._metrics.connection_event
@@ -264,9 +271,45 @@
             ready=self._lifecycle.ready and not leaving,
         )
 
+    def _admit(self):
+        """Allow a non-idempotent request to start, or refuse it.
+
+        :raises Refusal: ``NOT_RUN`` after a pause, and while this entry is isolated
+        """
+        self._lifecycle.admit()
+        if not self._configuration.serves_non_idempotent:
+            raise Refusal(
+                "this entry hears neither the store nor any other entry",
+                code="isolated",
+                outcome=Outcome.NOT_RUN,
+                status=503,
+                retry_after_ms=ISOLATED_RETRY_MS,
+            )
+
+    def _hear_item(self, item):
+        # Peers share their load twice a second, so silence means that they are cut
+        # off. Within one process a network delivers an entry's own items too.
+        if item.owner not in (self.incarnation, self._settings.name):
+            self._configuration.hear_contact()
+
+    def _share_connections(self, *, changed):
+        """Limit the connections to this entry's share of each pool's limit.
+
+        :param changed: whether the tables changed
+        """
+        # A leaving entry still serves requests over its connections.
+        others = self.members()[1:]
+        share = 1 + sum(m.ready or m.state == "leaving" for m in others)
+        with self._share_lock:
+            if changed or share != self._share:
+                self._share = share
+                # Read here, so that the newest tables are used last.
+                tables = self._configuration.tables
+                self._transport.update_tables(tables, entries=share)
+
     def _use_tables(self, tables):
         self._dispatcher.update_tables(tables)
-        self._transport.update_tables(tables, entries=len(self.members()))
+        self._share_connections(changed=True)
         self._prober.use_tables(tables)
         self._relay.use_tables(tables)
 
@@ -286,6 +329,7 @@
         if self._configuration.ready and self._sharing.informed:
             self._lifecycle.set_ready()
         try:
+            self._share_connections(changed=False)
             self._sharing.tick()
             self._prober.send_due()
         except Exception:
@@ -321,6 +365,10 @@
             clock=self._clock,
             metrics=self._metrics,
             virtual_machines=self._machines.read,
+            # Messages come after the start, when there is a configuration.
+            on_newer_revision=lambda revision, _checksum, _member: (
+                self._configuration.hear_revision(revision)
+            ),
         )
 
     def _handle_caller(self, request):
--- a/tests/core/test_configuration.py
+++ b/tests/core/test_configuration.py
@@ -328,6 +328,16 @@
         self.assertTrue(entry.ready)
         self.assertEqual(entry.revision, 2)
 
+    def test_pause_without_the_store_ends_through_a_peer(self):
+        """Gossip keeps the entry from being silent, so no keepalive would ask."""
+        entry = self.entries[1]
+        self.outage()
+        self.clock.advance(2500.0)
+        self.assertFalse(entry.serves_non_idempotent)
+        entry.hear_contact()
+        entry.poll()
+        self.assertTrue(entry.serves_non_idempotent)
+
 
 class TestSnapshots(ConfigurationTest):
     """Who writes the snapshot, and when."""
--- a/tests/entry/test_service.py
+++ b/tests/entry/test_service.py
@@ -3,10 +3,13 @@
 import http.client
 import time
 import unittest
+from unittest import mock
 
 import orjson
 
+from monsoonline.adapters.local_peers import LocalPeerHub
 from monsoonline.entry.service import EntryService
+from monsoonline.ports import Member
 from monsoonline.settings import EntrySettings
 from monsoonline.standin.platform import PlatformStandIn
 from monsoonline.standin.upstream import UpstreamStandIn
@@ -92,6 +95,81 @@
         self.assertEqual(self.upstream.runs, (key,))
 
 
+class TestEntryAmongPeers(unittest.TestCase):
+    """One entry with a second one in view."""
+
+    def setUp(self):
+        self.upstream = UpstreamStandIn()
+        self.platform = PlatformStandIn()
+        self.hub = LocalPeerHub()
+        upstream = {"address": self.upstream.address, "slots": 3}
+        pool = {"department": "d", "upstreams": [upstream], "max_connections": 8}
+        route = {"department": "d", "pool": "p", "idempotent": False}
+        self.platform.put_row("pools", "p", pool)
+        self.platform.put_row("routes", "r", route)
+        self.other = self.hub.join(
+            Member(
+                name="other",
+                incarnation="f" * 16,
+                address="",
+                peer_address="",
+                failure_domain="",
+                ready=True,
+            )
+        )
+        settings = EntrySettings(name="entry-1", platform={"url": self.platform.url})
+        self.service = EntryService(settings=settings, connect_peers=self.hub.join)
+        for server in (self.upstream, self.platform, self.service):
+            server.start()
+            self.addCleanup(server.close)
+        self.addCleanup(self.hub.close)
+        # On a busy machine the first poll may meet its time limit.
+        deadline = time.monotonic() + 8
+        while not self.service.ready and time.monotonic() < deadline:
+            time.sleep(0.02)
+
+    def book(self, key):
+        host, _, port = self.service.callers_address.partition(":")
+        caller = http.client.HTTPConnection(host, int(port), timeout=5)
+        self.addCleanup(caller.close)
+        caller.request("POST", "/", headers={"Monsoonline-Key": key})
+        response = caller.getresponse()
+        content = response.read()
+        return response.getheader("Monsoonline-Outcome"), orjson.loads(content)
+
+    def test_copy_of_a_booking_refused_during_isolation_never_runs(self):
+        """The copy is read from its socket after the isolation has ended."""
+        token = f"{self.service.incarnation}-0"
+        with mock.patch("monsoonline.core.contact.ISOLATION_MS", -1.0):
+            outcome, document = self.book(f"{token}.a")
+        self.assertEqual((outcome, document["code"]), ("not-run", "isolated"))
+        self.assertFalse(self.service._configuration.isolated)
+        outcome, document = self.book(f"{token}.a")
+        self.assertEqual((outcome, document["code"]), ("not-run", "isolated"))
+        self.assertEqual(self.upstream.runs, ())
+        self.assertIsNone(self.book(f"{token}.b")[0])
+
+    def test_items_of_peers_are_contact_and_own_items_are_not(self):
+        payload = self.service._dispatcher.snapshot().encode()["p"]
+        with mock.patch.object(self.service._configuration, "hear_contact") as hear:
+            self.hub.publish("entry-1", "load", "p", payload)
+            hear.assert_not_called()
+            self.hub.publish("other", "load", "p", payload)
+            hear.assert_called_once()
+
+    def test_connection_limit_is_shared_with_ready_and_leaving_entries(self):
+        """Limits that follow only the tables add up to too much after a start."""
+        connections = self.service._transport.connections(self.upstream.address)
+        self.service._follow_state()
+        self.assertEqual(connections.limit, 4)
+        self.other.set_own(ready=False, leaving=True)
+        self.service._follow_state()
+        self.assertEqual(connections.limit, 4)
+        self.hub.leave("f" * 16)
+        self.service._follow_state()
+        self.assertEqual(connections.limit, 8)
+
+
 class TestEntryMembers(unittest.TestCase):
     """Entries with peer keys learn each other's callers' address."""
 
@@ -127,3 +205,13 @@
                 break
             time.sleep(0.05)
         self.assertEqual(known, [addresses, addresses])
+        # The next poll could take a second; the gossip names the revision at once.
+        polls = [mock.patch.object(s._configuration, "hear_revision") for s in services]
+        with polls[0] as first, polls[1] as second:
+            services[0]._publish_state = lambda: None
+            services[0]._peers.set_own(revision=7)
+            deadline = time.monotonic() + 8
+            while not second.called and time.monotonic() < deadline:
+                time.sleep(0.02)
+        second.assert_called_with(7)
+        first.assert_not_called()
