Hold the answer to a crash, and tell own causes from upstream failures

Cause: a caller that got the answer to a lost connection could resend a crashing request through an entry that did not know of the crash yet. A full connection pool and a deadline that passed while connecting were reported as connect-failed, which counts against the health of a healthy upstream.

Change: the relay holds the answer to a lost connection for Dispatcher.hold_ms, bounded by the deadline. An exchange that ends for a cause in this entry carries its code: connection-limit goes on with another upstream and is 503 not-run when none is left, deadline is 504 not-run. The dispatcher learns of both as cancelled attempts, which are neutral. The transport already checked the deadline immediately before sending; only its report was wrong.

Conclusion: tests bring about the hold, its bound, a full pool, all pools full and a deadline that passes while connecting.

--- a/src/monsoonline/adapters/http_upstream.py
+++ b/src/monsoonline/adapters/http_upstream.py
@@ -5,7 +5,11 @@
 import threading
 
 from monsoonline.adapters.cancellation import Cancellation, ExchangeCancelled
-from monsoonline.adapters.connection_pool import RECEIVE_SLICE_MS, ConnectionPool
+from monsoonline.adapters.connection_pool import (
+    RECEIVE_SLICE_MS,
+    ConnectionLimitReached,
+    ConnectionPool,
+)
 from monsoonline.adapters.http_response import AnswerStream, read_answer
 
 __all__ = ["ExchangeFailed", "HttpUpstreamTransport"]
@@ -16,6 +20,8 @@
 # cannot block.
 UNTIMED_SEND_BYTES = 8 << 10
 DEADLINE_HEADER = "Monsoonline-Deadline-Ms"
+CONNECTION_LIMIT = "connection-limit"
+DEADLINE_PASSED = "deadline"
 BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
 
 
@@ -27,16 +33,31 @@
     :param timed_out: whether the deadline ended it
     :param cancelled: whether the answer was no longer wanted
     :param answered: whether a byte of an answer arrived
+    :param own_cause: code of a cause in this entry, which says nothing about the
+        upstream: ``connection-limit`` or ``deadline``; ``None`` for other causes
     """
 
     def __init__(
-        self, message, *, sent, timed_out=False, cancelled=False, answered=False
+        self,
+        message,
+        *,
+        sent,
+        timed_out=False,
+        cancelled=False,
+        answered=False,
+        own_cause=None,
     ):
         super().__init__(message)
         self._sent = sent
         self._timed_out = timed_out
         self._cancelled = cancelled
         self._answered = answered
+        self._own_cause = own_cause
+
+    @property
+    def own_cause(self):
+        """Code of a cause in this entry, ``None`` for a cause in the upstream."""
+        return self._own_cause
 
     @property
     def sent(self):
@@ -113,6 +134,13 @@
         return self._upstream.recv_into(buffer)
 
 
+def pool_failure(error, *, sent):
+    """Return the :class:`ExchangeFailed` for a connection that was not to be had."""
+    limited = isinstance(error, ConnectionLimitReached)
+    own_cause = CONNECTION_LIMIT if limited else None
+    return ExchangeFailed(str(error), sent=sent, own_cause=own_cause)
+
+
 def encode_request(request, *, remaining_ms):
     """Return the bytes of a request.
 
@@ -248,7 +276,7 @@
         try:
             return pool.checkout(idempotent=idempotent)
         except OSError as error:
-            raise ExchangeFailed(str(error), sent=False) from error
+            raise pool_failure(error, sent=False) from error
 
     @staticmethod
     def _open_new(pool):
@@ -256,7 +284,7 @@
             return pool.open_new()
         except OSError as error:
             # The request was sent over the old connection before.
-            raise ExchangeFailed(str(error), sent=True) from error
+            raise pool_failure(error, sent=True) from error
 
 
 class Exchange:
@@ -290,7 +318,12 @@
             raise self._failed(connection, error, cancelled=True) from error
         except (OSError, http.client.HTTPException, ValueError) as error:
             cancelled = self._cancellation.cancelled
-            raise self._failed(connection, error, cancelled=cancelled) from error
+            # Also a connection attempt that only the deadline cut short.
+            late = not self._sent and self._clock.now() >= deadline
+            own_cause = DEADLINE_PASSED if late else None
+            raise self._failed(
+                connection, error, cancelled=cancelled, own_cause=own_cause
+            ) from error
         finally:
             self._cancellation.detach()
             if clean:
@@ -342,11 +375,12 @@
             self._pool.probe.observe(self.first_byte_ms)
         return answer, kept_open and not stream.peek(1)
 
-    def _failed(self, connection, error, *, cancelled):
+    def _failed(self, connection, error, *, cancelled, own_cause=None):
         return ExchangeFailed(
             f"{connection.host}:{connection.port}: {error!r}",
             sent=self._sent,
             timed_out=isinstance(error, TimeoutError),
             cancelled=cancelled,
             answered=self.first_byte_ms is not None,
+            own_cause=own_cause,
         )
--- a/src/monsoonline/entry/outcomes.py
+++ b/src/monsoonline/entry/outcomes.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from monsoonline.adapters.http_upstream import CONNECTION_LIMIT
 from monsoonline.core.model import RefusalMeaning
 from monsoonline.errors import Refusal
 from monsoonline.types import (
@@ -41,6 +42,8 @@
 )
 CALLER_GONE_STATUS = 499
 REFUSAL_STATUS = 400
+# Connections come back as requests end, well within this time.
+CONNECTION_RETRY_MS = 1000.0
 FAILURE_STATUS = 500
 WHOLE_SECONDS = re.compile(r"[0-9]{1,6}")
 
@@ -52,11 +55,14 @@
     :param result: what the dispatcher learns
     :param may_have_run: whether the upstream may have run the request
     :param answer: the whole answer, if there is one
+    :param own_cause: code of a cause in this entry, which ended the attempt although
+        nothing was wrong with the upstream; ``None`` for other ends
     """
 
     result: AttemptResult
     may_have_run: bool
     answer: Answer | None = None
+    own_cause: str | None = None
 
     @property
     def succeeded(self):
@@ -99,7 +105,8 @@
 
 def failure_kind(error):
     """Classify an :class:`ExchangeFailed`."""
-    if error.cancelled:
+    # The dispatcher learns nothing from a cancelled attempt.
+    if error.cancelled or error.own_cause is not None:
         return AttemptKind.CANCELLED
     if not error.sent:
         return AttemptKind.CONNECT_FAILED
@@ -160,6 +167,8 @@
     def __init__(self, *, idempotent):
         self._idempotent = idempotent
         self._attempts = 0
+        self._unsent = 0
+        self._connection_lost = False
         self._may_have_run = False
         self._last = None
         self._excluded = frozenset()
@@ -169,6 +178,26 @@
         """Number of attempts."""
         return self._attempts
 
+    @property
+    def reached(self):
+        """Number of attempts that this entry did not end itself."""
+        return self._attempts - self._unsent
+
+    @property
+    def connection_lost(self):
+        """Whether the connection of an attempt was lost."""
+        return self._connection_lost
+
+    @property
+    def succeeded(self):
+        """Whether the last attempt succeeded."""
+        return self._last.succeeded
+
+    @property
+    def limited(self):
+        """Whether the last attempt found no free connection."""
+        return self._last.own_cause == CONNECTION_LIMIT
+
     @property
     def excluded(self):
         """Addresses that were tried."""
@@ -177,7 +206,8 @@
     @property
     def repeatable(self):
         """Whether another attempt cannot run the request a second time."""
-        if self._last.result.kind is AttemptKind.CANCELLED:
+        cancelled = self._last.result.kind is AttemptKind.CANCELLED
+        if cancelled and self._last.own_cause is None:
             return False
         return self._idempotent or not self._may_have_run
 
@@ -192,6 +222,9 @@
     def add(self, attempt):
         """Record the end of an attempt."""
         self._last = attempt
+        self._unsent += attempt.own_cause is not None
+        kind = attempt.result.kind
+        self._connection_lost |= kind is AttemptKind.CONNECTION_LOST
         self._may_have_run = self._may_have_run or attempt.may_have_run
 
     def conclude(self):
@@ -204,16 +237,20 @@
             return public_answer(self._last.answer)
         if kind is AttemptKind.FAILED_ANSWER:
             return public_answer(self._last.answer, outcome=Outcome.UNKNOWN)
+        code = self._last.own_cause or (
+            "caller-gone" if kind is AttemptKind.CANCELLED else kind.value
+        )
         raise Refusal(
-            f"the last of {self._attempts} attempts ended with {kind.value}",
-            code="caller-gone" if kind is AttemptKind.CANCELLED else kind.value,
+            f"the last of {self._attempts} attempts ended with {code}",
+            code=code,
             outcome=Outcome.UNKNOWN if self._may_have_run else Outcome.NOT_RUN,
             status=self._status(kind),
             retry_after_ms=self._retry_after_ms(),
         )
 
-    @staticmethod
-    def _status(kind):
+    def _status(self, kind):
+        if self._last.own_cause is not None:
+            return 503 if self.limited else 504
         return {
             AttemptKind.TIMED_OUT: 504,
             AttemptKind.SHED: 503,
@@ -221,6 +258,8 @@
         }.get(kind, 502)
 
     def _retry_after_ms(self):
+        if self.limited:
+            return CONNECTION_RETRY_MS
         answer = self._last.answer
         value = answer.header("Retry-After") if answer else None
         return int(value) * 1e3 if value and WHOLE_SECONDS.fullmatch(value) else None
--- a/src/monsoonline/entry/relay.py
+++ b/src/monsoonline/entry/relay.py
@@ -202,7 +202,7 @@
             except Refusal:
                 # The earlier attempt says more than that no other was possible.
                 if history.attempts:
-                    return history.conclude()
+                    return self._conclude(history, deadline, fingerprint)
                 raise
             history.begin(assignment.upstream.address)
             if route.idempotent and route.tolerance.hedges:
@@ -211,18 +211,25 @@
                 attempt = self._attempt(route, request, assignment, deadline)
             history.add(attempt)
             if attempt.succeeded or not self._retry(route, attempt, deadline, history):
-                return history.conclude()
+                return self._conclude(history, deadline, fingerprint)
             self._metrics.count("retries_total", route=route.name)
 
     def _retry(self, route, attempt, deadline, history):
-        return (
-            history.repeatable
-            and self._clock.now() < deadline
-            and self._dispatcher.may_retry(
-                route, attempts=history.attempts, result=attempt.result
-            )
+        if not history.repeatable or self._clock.now() >= deadline:
+            return False
+        # No upstream saw the attempt, so another one adds no load. Each upstream is
+        # tried once, because those tried are excluded.
+        return history.limited or self._dispatcher.may_retry(
+            route, attempts=history.reached, result=attempt.result
         )
 
+    def _conclude(self, history, deadline, fingerprint):
+        """Answer the caller, after the other entries can know of a crash."""
+        if history.connection_lost and not history.succeeded:
+            hold_ms = self._dispatcher.hold_ms(fingerprint)
+            self._clock.sleep(min(hold_ms, deadline - self._clock.now()))
+        return history.conclude()
+
     def _acquire(self, route, deadline, fingerprint, history):
         """Wait for an upstream that is still wanted when the wait has ended."""
         while self._clock.now() < deadline:
@@ -271,7 +278,9 @@
         except ExchangeFailed as error:
             latency_ms = self._clock.now() - started
             result = AttemptResult(kind=failure_kind(error), latency_ms=latency_ms)
-            return Attempt(result=result, may_have_run=error.sent)
+            return Attempt(
+                result=result, may_have_run=error.sent, own_cause=error.own_cause
+            )
         pool = self._pools.get(route.pool)
         means = pool.refusal_means if pool else RefusalMeaning.UNKNOWN
         kind = answer_kind(answer, refusal_means=means)
--- a/tests/adapters/test_http_upstream.py
+++ b/tests/adapters/test_http_upstream.py
@@ -307,7 +307,8 @@
         connections = self.transport.connections(self.upstream.address)
         for _ in range(2):
             connections.open_new()
-        self.assertFalse(self.fail().sent)
+        error = self.fail()
+        self.assertEqual((error.sent, error.own_cause), (False, "connection-limit"))
         self.assertEqual(self.events.count("limit"), 1)
 
     def test_removed_upstream_keeps_no_connections(self):
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -1,6 +1,7 @@
 """Tests of the request path with scripted upstreams."""
 
 import concurrent.futures
+import functools
 import socket
 import threading
 import time
@@ -9,7 +10,10 @@
 
 import orjson
 
-from monsoonline.adapters.connection_pool import RECEIVE_SLICE_MS
+from monsoonline.adapters.connection_pool import (
+    RECEIVE_SLICE_MS,
+    UpstreamConnection,
+)
 from monsoonline.adapters.http_server import HttpServer
 from monsoonline.adapters.http_upstream import HttpUpstreamTransport
 from monsoonline.clock import SystemClock
@@ -61,6 +65,8 @@
         self.metrics = Metrics()
         self.ledger = Ledger(clock=self.clock)
         self.dispatcher = Dispatcher(clock=self.clock)
+        # The hold has tests of its own.
+        self.dispatcher.hold_ms = lambda fingerprint: 0.0
         self.released = []
         release = self.dispatcher.release
         self.dispatcher.release = lambda assignment, result: (
@@ -322,6 +328,75 @@
         self.assertEqual(self.released, ["cancelled", "succeeded"])
 
 
+class TestCrashHold(RelayCase):
+    """The answer to a lost connection waits until other entries know of the crash."""
+
+    def timed(self, send):
+        self.dispatcher.hold_ms = functools.partial(Dispatcher.hold_ms, self.dispatcher)
+        started = time.monotonic()
+        answer = send()
+        return answer, (time.monotonic() - started) * 1e3
+
+    def test_refusal_after_a_crash_is_held(self):
+        """The caller's resend would crash an upstream of an unaware entry."""
+        self.start(lambda *_: CUT)
+        with mock.patch("monsoonline.core.dispatch.HOLD_MS", 150.0):
+            answer, elapsed_ms = self.timed(self.book)
+        self.assert_refused(answer, 502, "unknown")
+        self.assertGreaterEqual(elapsed_ms, 150.0)
+
+    def test_hold_ends_at_the_deadline(self):
+        self.start(lambda *_: CUT)
+        header = ("Monsoonline-Deadline-Ms", "200")
+        answer, elapsed_ms = self.timed(lambda: self.book("1", header))
+        self.assert_refused(answer, 502, "unknown")
+        self.assertLess(elapsed_ms, 1000.0)
+
+    def test_success_of_a_retry_is_not_held(self):
+        self.start(lambda *_: CUT, lambda *_: OK)
+        answer, elapsed_ms = self.timed(self.lookup)
+        self.assertEqual(answer.body, b"ok")
+        self.assertLess(elapsed_ms, 1000.0)
+
+
+class TestOwnCauses(RelayCase):
+    """Attempts that this entry ended itself say nothing about the upstream."""
+
+    def test_full_connection_pool_uses_another_upstream(self):
+        """Reported as a failed connection, it would eject a healthy upstream."""
+        self.start(lambda *_: OK, lambda *_: OK)
+        self.transport.connections(self.servers[0].address).limit = 0
+        self.assertEqual(self.book().body, b"ok")
+        self.assertEqual(self.runs(), [0, 1])
+        self.assertEqual(self.released, ["cancelled", "succeeded"])
+
+    def test_all_connection_pools_full(self):
+        self.start(lambda *_: OK, lambda *_: OK)
+        for server in self.servers:
+            self.transport.connections(server.address).limit = 0
+        answer = self.book()
+        self.assert_refused(answer, 503, "not-run")
+        self.assertEqual(orjson.loads(answer.body)["code"], "connection-limit")
+        self.assertEqual(answer.header("Retry-After"), "1")
+        self.assertEqual(self.released, ["cancelled", "cancelled"])
+
+    def test_deadline_that_passes_while_connecting_sends_nothing(self):
+        """Reported as a failed connection, it would eject a healthy upstream."""
+        self.start(lambda *_: OK)
+        connect = UpstreamConnection.connect
+
+        def connect_slowly(connection):
+            connect(connection)
+            time.sleep(0.06)
+
+        with mock.patch.object(UpstreamConnection, "connect", connect_slowly):
+            answer = self.book("1", ("Monsoonline-Deadline-Ms", "50"))
+        self.assert_refused(answer, 504, "not-run")
+        self.assertEqual(orjson.loads(answer.body)["code"], "deadline")
+        self.assertEqual(self.released, ["cancelled"])
+        self.assertEqual(self.runs(), [0])
+
+
 class TestCallerHangUp(RelayCase):
     """What happens upstream when the caller is gone."""
 
