Leave IP addresses out of the request fingerprint

Cause: a caller that addresses entries by IP sends another Host with a resend through another entry, so the resend was refused with 422 as another request, and a crashing request had one fingerprint per entry.

Change: the host counts only where it is a name.

Conclusion: tests cover IPv4, IPv6 and names.

--- a/src/monsoonline/entry/relay.py
+++ b/src/monsoonline/entry/relay.py
@@ -1,7 +1,9 @@
 """The path of one request from the caller to an upstream and back."""
 
 import concurrent.futures
+import functools
 import hashlib
+import ipaddress
 import logging
 import re
 
@@ -28,16 +30,31 @@
 DEADLINE_HEADER = "Monsoonline-Deadline-Ms"
 DEADLINE_VALUE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?")
 FINGERPRINT_BYTES = 16
+HOSTS_CACHED = 1024
 HEDGE_THREADS = 256
 CALLER_FAULTS = frozenset((400, 413, 422, 428, 431))
 
 logger = logging.getLogger(__name__)
 
 
+@functools.lru_cache(maxsize=HOSTS_CACHED)
+def named_host(host):
+    """Return a host name, ``""`` for an IP address, which names an entry."""
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return host
+    return ""
+
+
 def fingerprint_of(request):
-    """Return a digest that is equal for resends of the same request."""
+    """Return a digest that is equal for resends of the same request.
+
+    A caller that uses the entries' addresses sends another address with a resend
+    through another entry, so only a name that a route could match counts.
+    """
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (request.method, request.host, request.target):
+    for part in (request.method, named_host(request.host), request.target):
         digest.update(part.encode() + b"\0")
     digest.update(request.body)
     return digest.hexdigest()
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -29,7 +29,7 @@
     Tolerance,
     Upstream,
 )
-from monsoonline.entry.relay import Relay
+from monsoonline.entry.relay import Relay, fingerprint_of
 from monsoonline.errors import Refusal
 from monsoonline.metrics import Metrics
 from monsoonline.types import Outcome, Request
@@ -263,6 +263,24 @@
         self.assert_final(404, "no-route", refused)
 
 
+class TestFingerprint(unittest.TestCase):
+    """Which requests count as resends of one another."""
+
+    def of(self, host, target="/booking"):
+        return fingerprint_of(Request(method="POST", host=host, target=target))
+
+    def test_address_of_the_entry_does_not_count(self):
+        """A resend to another entry by its address would be refused as reused."""
+        hosts = ("10.0.0.1", "10.0.0.2", "::1", "[fe80::1]", "")
+        self.assertEqual(len({self.of(host) for host in hosts}), 1)
+
+    def test_host_names_count(self):
+        """Two names may lead to two routes."""
+        hosts = ("bookings", "stock", "10.0.0.1", "10.0.0.1.example")
+        self.assertEqual(len({self.of(host) for host in hosts}), 4)
+        self.assertNotEqual(self.of("a"), self.of("a", "/other"))
+
+
 class TestUnexpectedErrors(RelayCase):
     """An unexpected error settles everything that was opened."""
 
