Send each probe at most once

Cause: the prober used the transport as for an idempotent request, so a probe whose kept connection was lost or silent was sent again over a new one. The second copy was counted at the upstream but not by the planner. A scenario with slow upstreams counted 3 probes of one upstream in 1 s, limit 2. Change: probes are sent as a non-idempotent request is: on a connection that was proved lately or on a new one, and never twice.

--- a/src/monsoonline/entry/probes.py
+++ b/src/monsoonline/entry/probes.py
@@ -57,7 +57,8 @@
                 upstream,
                 request,
                 deadline=self._clock.now() + PROBE_TIMEOUT_MS,
-                idempotent=True,
+                # Otherwise the transport may send it twice, beyond the budget.
+                idempotent=False,
             )
         except ExchangeFailed:
             self._metrics.count("probes_total", pool=pool_name, result="failed")
