Count the platform's share of the control cost of a node

Cause: the bound of 4 KB/s was compared with the bytes of gossip alone, and a failed scrape counted as zero bytes.

Change: control-cost reports the reads of the platform for each entry and the size of a VM list answer, and fails where a byte counter is missing.

--- a/tools/fleet/control_cost.py
+++ b/tools/fleet/control_cost.py
@@ -6,7 +6,7 @@
 import statistics
 import time
 
-from tools.fleet.clients import fetch
+from tools.fleet.clients import NoAnswer, fetch
 from tools.fleet.deployment import Fleet
 from tools.fleet.report import Bound
 
@@ -19,6 +19,7 @@
 __all__ = ["measure_control_cost"]
 
 GOSSIP_BYTES = re.compile(r"^monsoonline_gossip_bytes\{[^}]*\} (\S+)$", re.MULTILINE)
+DIRECTIONS = 2
 SETTLE_SECONDS = 5.0
 
 
@@ -37,15 +38,22 @@
 
 
 def gossip_bytes(entry):
-    """Return the bytes of gossip sent and received so far."""
-    _, content = fetch(entry.operations, "/metrics")
-    return sum(float(value) for value in GOSSIP_BYTES.findall(content.decode()))
+    """Return the bytes of gossip sent and received so far.
+
+    :raises NoAnswer: when the metrics do not have both values
+    """
+    status, content = fetch(entry.operations, "/metrics")
+    values = GOSSIP_BYTES.findall(content.decode())
+    if status != 200 or len(values) != DIRECTIONS:
+        raise NoAnswer(f"{entry.name}: status {status}, {len(values)} byte counters")
+    return sum(map(float, values))
 
 
 def measure_control_cost(*, entries, seconds):
     """Measure every entry of a fleet over some time.
 
-    The scrapes at both ends are part of the CPU time.
+    The scrapes at both ends are part of the CPU time. The bytes are those of gossip;
+    the reads of the platform are counted beside them.
 
     :returns: JSON object and the bounds
     """
@@ -53,6 +61,7 @@
         time.sleep(SETTLE_SECONDS)
         identities = [entry.process.process_id for entry in fleet.entries]
         sent = [gossip_bytes(entry) for entry in fleet.entries]
+        reads = fleet.counters()["reads"]["total"]
         cpu = [cpu_seconds(identity) for identity in identities]
         started = time.monotonic()
         time.sleep(seconds)
@@ -62,6 +71,8 @@
             gossip_bytes(entry) - before
             for entry, before in zip(fleet.entries, sent, strict=True)
         ]
+        reads = fleet.counters()["reads"]["total"] - reads
+        machines = len(fetch(fleet.platform, "/v1/machines")[1])
         memory = [resident_bytes(identity) for identity in identities]
     rates = [value / elapsed for value in sent]
     shares = [value / elapsed for value in cpu]
@@ -71,6 +82,8 @@
         "bytes_per_second": spread_of(rates),
         "cpu_share": spread_of(shares),
         "resident_bytes": spread_of(memory),
+        "platform_reads_per_entry_and_second": reads / entries / elapsed,
+        "vm_list_answer_bytes": machines,
     }
     limits = (
         ("gossip bytes/s, maximum", max(rates), MAX_BYTES_PER_SECOND),
