Build the request path of an entry in a module of its own

Cause: the constructor of EntryService had grown to 71 lines and knew every part of the request path. Change: RequestPath builds the dispatcher, connections, probes, sharing and relay and follows the tables and the number of entries; the latest tables are kept under the lock that guards the connection limits. Conclusion: behaviour is unchanged.

--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -5,7 +5,6 @@
 
 from monsoonline.adapters.configuration_codec import ConfigurationCodec
 from monsoonline.adapters.http_server import HttpServer
-from monsoonline.adapters.http_upstream import HttpUpstreamTransport
 from monsoonline.adapters.object_store import HttpObjectStore
 from monsoonline.adapters.peer_network import SocketPeerNetwork
 from monsoonline.adapters.platform import PlatformClient
@@ -14,7 +13,6 @@
 from monsoonline.clock import SystemClock
 from monsoonline.core.configuration import Configuration
 from monsoonline.core.contact import PauseDetector
-from monsoonline.core.dispatch import Dispatcher
 from monsoonline.core.ledger import Ledger
 from monsoonline.core.service_levels import ServiceLevels
 from monsoonline.entry.administration import Administration, resolve_tokens
@@ -22,9 +20,8 @@
 from monsoonline.entry.keys import KeyDirectory
 from monsoonline.entry.lifecycle import EntryState, Lifecycle, StopTimes
 from monsoonline.entry.operations import Operations
-from monsoonline.entry.probes import Prober
-from monsoonline.entry.relay import Relay
-from monsoonline.entry.sharing import LOAD_KIND, Sharing
+from monsoonline.entry.request_path import RequestPath
+from monsoonline.entry.sharing import LOAD_KIND
 from monsoonline.errors import Refusal
 from monsoonline.metrics import Metrics
 from monsoonline.ports import Member
@@ -86,31 +83,12 @@
         self._configuration = self._make_configuration()
         if self._peers is not None:
             self._peers.subscribe(LOAD_KIND, self._hear_item)
-        self._share_lock = threading.Lock()
-        self._share = 0
-        self._dispatcher = Dispatcher(clock=self._clock, owner=self.incarnation)
-        self._transport = HttpUpstreamTransport(
-            clock=self._clock, count=self._metrics.connection_event
-        )
-        self._prober = Prober(
+        self._path = RequestPath(
             clock=self._clock,
-            dispatcher=self._dispatcher,
-            transport=self._transport,
             metrics=self._metrics,
-        )
-        self._sharing = Sharing(
-            clock=self._clock,
-            dispatcher=self._dispatcher,
+            keys=self._keys,
             machines=self._machines,
-            metrics=self._metrics,
             peers=self._peers,
-        )
-        self._relay = Relay(
-            clock=self._clock,
-            dispatcher=self._dispatcher,
-            ledger=self._keys,
-            transport=self._transport,
-            metrics=self._metrics,
             service_levels=self._service_levels,
         )
         self._discovery = Discovery(
@@ -172,7 +150,7 @@
         if self._peers is not None:
             self._peers.start()
         self._configuration.start()
-        self._sharing.read_machines()
+        self._path.read_machines()
         self._callers.start()
         self._operations.start()
         self._follow_state()
@@ -197,11 +175,10 @@
         self._stopping.set()
         if self._peers is not None:
             self._peers.close()
-        self._prober.close()
         self._configuration.close()
         self._callers.close()
         self._operations.close()
-        self._transport.close()
+        self._path.close()
 
     def _make_lifecycle(self):
         settings = self._settings
@@ -257,7 +234,7 @@
             "revision": self._configuration.revision,
             "table_age_ms": round(self._configuration.age_ms),
             "requests_in_flight": self.requests_in_flight,
-            "leaving_upstreams": sorted(self._dispatcher.leaving),
+            "leaving_upstreams": self._path.leaving_upstreams,
             "members": [
                 {"name": m.name, "state": m.state, "ready": m.ready}
                 for m in self.members()
@@ -297,26 +274,14 @@
         if item.owner not in (self.incarnation, self._settings.name):
             self._configuration.hear_contact()
 
-    def _share_connections(self, *, changed):
-        """Limit the connections to this entry's share of each pool's limit.
-
-        :param changed: whether the tables changed
-        """
+    def _connection_share(self):
+        """Return the number of entries that share each pool's connection limit."""
         # A leaving entry still serves requests over its connections.
         others = self.members()[1:]
-        share = 1 + sum(m.ready or m.state == "leaving" for m in others)
-        with self._share_lock:
-            if changed or share != self._share:
-                self._share = share
-                # Read here, so that the newest tables are used last.
-                tables = self._configuration.tables
-                self._transport.update_tables(tables, entries=share)
+        return 1 + sum(m.ready or m.state == "leaving" for m in others)
 
     def _use_tables(self, tables):
-        self._dispatcher.update_tables(tables)
-        self._share_connections(changed=True)
-        self._prober.use_tables(tables)
-        self._relay.use_tables(tables)
+        self._path.use_tables(tables, share=self._connection_share())
 
     def _run_detector(self):
         self._detector.run(self._stopping)
@@ -327,16 +292,15 @@
 
     def _run_machines(self):
         while not self._stopping.wait(VM_LIST_INTERVAL_MS / 1e3):
-            self._sharing.read_machines()
+            self._path.read_machines()
 
     def _follow_state(self):
         """Become ready with the configuration, and share what is new."""
-        if self._configuration.ready and self._sharing.informed:
+        if self._configuration.ready and self._path.informed:
             self._lifecycle.set_ready()
         try:
-            self._share_connections(changed=False)
-            self._sharing.tick()
-            self._prober.send_due()
+            self._path.use_share(self._connection_share())
+            self._path.tick()
         except Exception:
             self._metrics.count("sharing_failures_total")
             logger.exception("sharing with peers failed")
@@ -377,4 +341,4 @@
         )
 
     def _handle_caller(self, request):
-        return self._discovery.handle(request) or self._relay.handle(request)
+        return self._discovery.handle(request) or self._path.handle(request)
--- a/tests/entry/test_service.py
+++ b/tests/entry/test_service.py
@@ -150,7 +150,7 @@
         self.assertIsNone(self.book(f"{token}.b")[0])
 
     def test_items_of_peers_are_contact_and_own_items_are_not(self):
-        payload = self.service._dispatcher.snapshot().encode()["p"]
+        payload = self.service._path._dispatcher.snapshot().encode()["p"]
         with mock.patch.object(self.service._configuration, "hear_contact") as hear:
             self.hub.publish("entry-1", "load", "p", payload)
             hear.assert_not_called()
@@ -159,7 +159,7 @@
 
     def test_connection_limit_is_shared_with_ready_and_leaving_entries(self):
         """Limits that follow only the tables add up to too much after a start."""
-        connections = self.service._transport.connections(self.upstream.address)
+        connections = self.service._path._transport.connections(self.upstream.address)
         self.service._follow_state()
         self.assertEqual(connections.limit, 4)
         self.other.set_own(ready=False, leaving=True)
