Do not let requests for a replaced process block its successor

Cause: a request for an incarnation that no longer answers at its address closed the connection to the process that does, and made all requests to that address wait for the time after a failed connection.

Change: the wait applies only to requests for the process that failed.

Both new tests fail without the change.

--- a/src/monsoonline/adapters/peer_connections.py
+++ b/src/monsoonline/adapters/peer_connections.py
@@ -162,6 +162,10 @@
         return self._codec.decode_exchange(envelope)
 
 
+class ReplacedPeer(PeerUnavailable):
+    """Another process answers at the address than the one that was asked."""
+
+
 class PeerConnection:
     """The connection to one peer and the task that uses it.
 
@@ -177,6 +181,9 @@
         self._number = 0
         self._failures = 0
         self._not_before = 0.0
+        self._failed_incarnation = ""
+        self._replaced_incarnation = ""
+        self._replaced_until = 0.0
         self._busy = False
 
     def submit(self, exchange, incarnation, deadline):
@@ -223,19 +230,38 @@
         """Whether no request waits or runs."""
         return self._requests.empty() and not self._busy
 
+    @property
+    def _must_wait(self):
+        return time.monotonic() < self._not_before
+
+    def _is_replaced(self, incarnation):
+        """Whether another process answered lately in place of an incarnation."""
+        lately = time.monotonic() < self._replaced_until
+        return incarnation and incarnation == self._replaced_incarnation and lately
+
     def _serve(self, exchange, incarnation, deadline, future):
         if time.monotonic() >= deadline or self._client.closed:
             future.set_exception(PeerUnavailable(f"{self._address}: no time left"))
             return
-        if time.monotonic() < self._not_before:
-            # Not counted as a failure: requests must not prolong the wait.
+        if self._is_replaced(incarnation):
+            # Each request for a former process would cost a new connection.
+            replaced = f"{self._address}: another process answers than {incarnation}"
+            future.set_exception(PeerUnavailable(replaced))
+            return
+        if incarnation == self._failed_incarnation and self._must_wait:
+            # Not counted as a failure: requests must not prolong the wait. A process
+            # that has taken the place of the failed one is asked at once.
             waiting = f"{self._address}: waits before it connects again"
             future.set_exception(PeerUnavailable(waiting))
             return
         try:
             future.set_result(self._exchange(exchange, incarnation, deadline))
+        except ReplacedPeer as error:
+            # The connection to the present process stays in use.
+            future.set_exception(error)
         except (OSError, MonsoonlineError) as error:
             self._close()
+            self._failed_incarnation = incarnation
             self._failures += 1
             longest = min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2 ** min(self._failures, 10))
             wait_ms = random.uniform(BACKOFF_MIN_MS, longest)
@@ -249,10 +275,15 @@
             future.set_exception(PeerUnavailable(f"{self._address}: {error!r}"))
 
     def _exchange(self, exchange, incarnation, deadline):
+        if self._channel is not None and incarnation not in ("", self._channel.peer):
+            # The kept connection may be that of an earlier process.
+            self._close()
         if self._channel is None:
             self._channel = self._connect(deadline)
-        if incarnation and self._channel.peer != incarnation:
-            raise PeerUnavailable(f"another process answers: {self._channel.peer}")
+        if incarnation not in ("", self._channel.peer):
+            self._replaced_incarnation = incarnation
+            self._replaced_until = time.monotonic() + BACKOFF_MAX_MS / 1e3
+            raise ReplacedPeer(f"another process answers: {self._channel.peer}")
         self._number += 1
         request = Exchange(
             kind=exchange.kind,
--- a/tests/adapters/test_peer_network.py
+++ b/tests/adapters/test_peer_network.py
@@ -1,5 +1,6 @@
 """Tests of peer messages over real sockets on loopback."""
 
+import dataclasses
 import socket
 import threading
 import time
@@ -182,6 +183,35 @@
         with self.assertRaisesRegex(PeerUnavailable, "another process"):
             first.request(former, "echo", b"", timeout_ms=1000)
 
+    def test_requests_for_a_former_process_do_not_delay_its_successor(self):
+        """A resend for a stopped entry blocked the queries to the new one."""
+        first, second = self.start(1), self.start(2)
+        second.serve("echo", lambda name, payload: payload)
+        target = self.member(second)
+        former = dataclasses.replace(target, incarnation="f" * 16)
+        for _ in range(3):
+            with self.assertRaisesRegex(PeerUnavailable, "another process"):
+                first.request(former, "echo", b"", timeout_ms=1000)
+            reply = first.request(target, "echo", b"x", timeout_ms=1000)
+            self.assertEqual(reply, b"x")
+
+    def test_successor_of_an_unreachable_process_is_asked_at_once(self):
+        """The wait after failed connections is that of the process that failed."""
+        first, second = self.start(1), self.start(2)
+        second.serve("echo", lambda name, payload: payload)
+        target = self.member(second)
+        former = dataclasses.replace(target, incarnation="f" * 16)
+        with mock.patch.object(peer_connections, "BACKOFF_MIN_MS", 60_000.0):
+            with (
+                mock.patch("socket.create_connection", side_effect=OSError("refused")),
+                self.assertRaises(PeerUnavailable),
+            ):
+                first.request(former, "echo", b"", timeout_ms=1000)
+            with self.assertRaisesRegex(PeerUnavailable, "waits"):
+                first.request(former, "echo", b"", timeout_ms=1000)
+            reply = first.request(target, "echo", b"x", timeout_ms=1000)
+        self.assertEqual(reply, b"x")
+
     def test_wrong_key_is_refused_on_both_transports(self):
         first = self.start(1)
         stranger = self.start(2, keys={1: b"another-secret-12"})
