Measure how long the users of the tables take to follow a change

Cause: the slope of applying a change left out the decisions, the relay and the connections, which are told of every new revision.

Change: the measurement users-apply-change-by-targets times them with one changed pool.

--- a/src/monsoonline/bench/capacity_measurements.py
+++ b/src/monsoonline/bench/capacity_measurements.py
@@ -5,7 +5,9 @@
 """
 
 import contextlib
+import dataclasses
 import gc
+import itertools
 import socket
 import time
 import tracemalloc
@@ -178,6 +180,39 @@
     return least_time_ms(apply) / CHANGES
 
 
+@measurements.measures(
+    "users-apply-change-by-targets",
+    size="targets",
+    unit="ms",
+    points=(480, 960, 1_920, 4_800),
+)
+def users_apply_change(targets):
+    """Return the time in which decisions, relay and connections take new tables."""
+    tables = tables_of(targets)
+    dispatcher = used_dispatcher(tables)
+    clock = SystemClock()
+    transport = HttpUpstreamTransport(clock=clock)
+    relay = Relay(
+        clock=clock,
+        dispatcher=dispatcher,
+        ledger=Ledger(clock=clock),
+        transport=transport,
+        metrics=Metrics(),
+    )
+    slots = itertools.count(4)
+
+    def apply():
+        pool = dataclasses.replace(tables.pools["pool-0"], max_connections=next(slots))
+        changed = dataclasses.replace(
+            tables, revision=next(slots), pools={**tables.pools, "pool-0": pool}
+        )
+        dispatcher.update_tables(changed)
+        transport.update_tables(changed)
+        relay.use_tables(changed)
+
+    return least_time_ms(apply)
+
+
 def pool_changes(targets, count):
     """Yield numbers and rows of pools, each with other addresses."""
     random = numpy.random.default_rng(RANDOM_SEED)
