--- a/src/monsoonline/verify/configuration.py
+++ b/src/monsoonline/verify/configuration.py
@@ -143,6 +143,17 @@
         )
 
 
+@specification.step("report-propagating")
+def report_propagating(state, guards):
+    """The operator is told that the edit is committed but not yet accepted."""
+    # No edit follows the last one, so its report would only add states.
+    if not state.pending or state.pending == MAX_REVISION or state.a < 0:
+        return
+    required = min(HOLDERS_REQUIRED, len(live_peers(state)))
+    if len(state.acknowledged) < required:
+        yield state._replace(pending=0, acknowledged=frozenset())
+
+
 @specification.step("gossip")
 def gossip(state, guards):
     """A ready peer learns a revision from another."""
