--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -14,7 +14,7 @@
 from monsoonline.core.configuration import Configuration
 from monsoonline.errors import StoreUnavailable
 from monsoonline.metrics import Metrics
-from monsoonline.ports import ProposedChange
+from monsoonline.ports import Member, ProposedChange
 from monsoonline.standin.peers import PeerNetworkStandIn
 from monsoonline.standin.platform import PlatformStandIn
 from monsoonline.types import Request
@@ -90,6 +90,18 @@
         return answer.status, answer.body
 
 
+def member(name, incarnation):
+    """Return a ready member in a failure domain of its own."""
+    return Member(
+        name=name,
+        incarnation=incarnation,
+        address="",
+        peer_address="",
+        failure_domain=name,
+        ready=True,
+    )
+
+
 class Deployment:
     """Entries' configurations over one stand-in platform and a manual clock."""
 
