Keep the last refusal as a booking's result, and budget sent retries

Cause: when no entry gave a token after a refusal, the caller library raised NoEntry, which hid that the booking certainly did not run. An idempotent request that found no free connection for its repetition, after it had been sent over an old one, was sent to another upstream outside the retry budget.

Change: the booking ends with the refusal. Only attempts that no upstream saw are free of the budget.

--- a/src/monsoonline/caller.py
+++ b/src/monsoonline/caller.py
@@ -250,14 +250,22 @@
             if address is not None and not self._may_go_on(progress, deadline):
                 break
             self._pause(self._retry_wait_ms(reply), deadline)
-            if address is not None:
-                progress = self._renew(progress, address, deadline)
-            elif not progress.sent:
-                # No entry can have received the key, so a new one is safe; the old
-                # one's owner may be gone.
-                progress = self._mint(deadline, progress)
+            try:
+                progress = self._next_progress(progress, address, deadline)
+            except NoEntry:
+                break
         return booking_result(progress)
 
+    def _next_progress(self, progress, address, deadline):
+        """Return the booking with the key of the next round."""
+        if address is not None:
+            return self._renew(progress, address, deadline)
+        if not progress.sent:
+            # No entry can have received the key, so a new one is safe; the old one's
+            # owner may be gone.
+            return self._mint(deadline, progress)
+        return progress
+
     def _send_round(self, progress, method, target, headers, body, deadline):
         """Send a key to its owner, then to others, until its outcome is settled.
 
--- a/src/monsoonline/entry/relay.py
+++ b/src/monsoonline/entry/relay.py
@@ -234,9 +234,11 @@
     def _retry(self, route, attempt, deadline, history):
         if not history.repeatable or self._clock.now() >= deadline:
             return False
-        # No upstream saw the attempt, so another one adds no load. Each upstream is
+        # Where no upstream saw the attempt, another one adds no load. Each upstream is
         # tried once, because those tried are excluded.
-        return history.limited or self._dispatcher.may_retry(
+        if history.limited and not attempt.may_have_run:
+            return True
+        return self._dispatcher.may_retry(
             route, attempts=history.reached, result=attempt.result
         )
 
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -15,7 +15,7 @@
     UpstreamConnection,
 )
 from monsoonline.adapters.http_server import HttpServer
-from monsoonline.adapters.http_upstream import HttpUpstreamTransport
+from monsoonline.adapters.http_upstream import ExchangeFailed, HttpUpstreamTransport
 from monsoonline.clock import SystemClock
 from monsoonline.core.balancing import Policy, policies
 from monsoonline.core.dispatch import Dispatcher
@@ -398,6 +398,14 @@
         self.assertEqual(answer.header("Retry-After"), "1")
         self.assertEqual(self.released, ["cancelled", "cancelled"])
 
+    def test_full_connection_pool_after_a_send_is_no_free_retry(self):
+        """The first upstream may be running the request already."""
+        self.start(lambda *_: OK, lambda *_: OK)
+        error = ExchangeFailed("full", sent=True, own_cause="connection-limit")
+        with mock.patch.object(self.transport, "exchange", side_effect=error) as sent:
+            self.assert_refused(self.lookup(), 503, "unknown")
+        sent.assert_called_once()
+
     def test_deadline_that_passes_while_connecting_sends_nothing(self):
         """Reported as a failed connection, it would eject a healthy upstream."""
         self.start(lambda *_: OK)
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -22,6 +22,7 @@
 
     def __init__(self, name, *, domain="east"):
         self.token = f"{name * 16}-0"
+        self.token_status = 200
         self.domain = domain
         self.known = [self]
         self.script = []
@@ -46,6 +47,8 @@
             document = {"entries": entries, "lifetime_ms": 1000.0}
             return Answer(status=200, body=orjson.dumps(document))
         if request.path.endswith("/token"):
+            if self.token_status != 200:
+                return Answer(status=self.token_status)
             return Answer(status=200, body=orjson.dumps({"token": self.token}))
         self.received.append(request.header("Monsoonline-Key"))
         self.hosts.add(request.host)
@@ -155,6 +158,19 @@
         self.assertEqual(result.code, "no-slot")
         self.assertEqual(len(result.keys), MAX_KEYS)
 
+    def test_last_refusal_is_the_result_where_no_entry_is_left(self):
+        """An exception would hide that the booking certainly did not run."""
+
+        def refuse_and_end():
+            for entry in (self.first, self.second):
+                entry.token_status = 503
+            return refusal(503, "not-run", "entry-paused")
+
+        self.first.script = [refuse_and_end]
+        result = self.book()
+        self.assertIs(result.call_status, CallStatus.REFUSED_NOT_RUN)
+        self.assertEqual(result.code, "entry-paused")
+
     def test_long_retry_after_ends_the_call_at_once(self):
         headers = {"Retry-After": "9"}
         self.first.script = [refusal(503, "not-run", "no-slot", **headers)]
