Place shed requests again and hedge through the dispatcher's tickets

Cause: the relay excluded each upstream that had refused a request with a certificate, so a full pool was used up after one round although its slots change hands within milliseconds. Retry-After in whole seconds removed the jitter.

Change: an upstream that sheds stays usable for the request unless it sends Retry-After; the dispatcher gets the number of attempts and decides about placements. Hedges use enqueue and expire with the fingerprint. Each ended attempt enters the history. When the queue refuses a repeated request, the refusal says when to try again. Monsoonline-Retry-After-Ms carries the exact time and the caller library uses it.

A booking is placed again only after a certificate or an attempt that sent nothing, as before.

No latency was measured.

--- a/src/monsoonline/caller.py
+++ b/src/monsoonline/caller.py
@@ -22,6 +22,7 @@
 KEY_HEADER = "Monsoonline-Key"
 OUTCOME_HEADER = "Monsoonline-Outcome"
 TOKEN_HEADER = "Monsoonline-Token"
+RETRY_AFTER_MS_HEADER = "Monsoonline-Retry-After-Ms"
 CONTROL_TIMEOUT_MS = 1000.0
 RESEND_PAUSE_MS = 50.0
 MAX_IDLE_CONNECTIONS = 8
@@ -98,7 +99,13 @@
 
     @property
     def retry_after_ms(self):
-        """Milliseconds of ``Retry-After``, 0 without one."""
+        """Milliseconds after which to try again, 0 when the response does not say.
+
+        ``Retry-After`` is rounded up to whole seconds, so the exact time counts.
+        """
+        exact = self.header(RETRY_AFTER_MS_HEADER, "")
+        if exact.isdigit():
+            return float(exact)
         text = self.header("Retry-After", "")
         return float(text) * 1e3 if text.isdigit() else 0.0
 
--- a/src/monsoonline/entry/outcomes.py
+++ b/src/monsoonline/entry/outcomes.py
@@ -31,6 +31,8 @@
 NOT_RUN_HEADER = "Monsoonline-Not-Run"
 OUTCOME_HEADER = "Monsoonline-Outcome"
 TOKEN_HEADER = "Monsoonline-Token"
+# Retry-After has whole seconds, which would send many callers back at one instant.
+RETRY_AFTER_MS_HEADER = "Monsoonline-Retry-After-Ms"
 # Statements between this entry and its upstream, not for the caller.
 PRIVATE_HEADERS = frozenset(
     (
@@ -138,6 +140,7 @@
         headers.append((TOKEN_HEADER, token))
     if refusal.retry_after_ms is not None:
         headers.append(("Retry-After", str(math.ceil(refusal.retry_after_ms / 1e3))))
+        headers.append((RETRY_AFTER_MS_HEADER, str(math.ceil(refusal.retry_after_ms))))
     body = orjson.dumps(
         {
             "outcome": refusal.outcome.value,
@@ -171,6 +174,7 @@
         self._connection_lost = False
         self._may_have_run = False
         self._last = None
+        self._refusal = None
         self._excluded = frozenset()
 
     @property
@@ -200,7 +204,10 @@
 
     @property
     def excluded(self):
-        """Addresses that were tried."""
+        """Addresses that take no further attempt of this request.
+
+        An upstream that only had no free slot may have one again soon.
+        """
         return self._excluded
 
     @property
@@ -219,14 +226,22 @@
         self._attempts += 1
         self._excluded |= {address}
 
-    def add(self, attempt):
-        """Record the end of an attempt."""
+    def add(self, attempt, address):
+        """Record the end of an attempt at an upstream."""
         self._last = attempt
+        # An upstream that asks for a pause is left alone by this request.
+        shed = attempt.result.kind is AttemptKind.SHED
+        if shed and attempt.answer.header("Retry-After") is None:
+            self._excluded -= {address}
         self._unsent += attempt.own_cause is not None
         kind = attempt.result.kind
         self._connection_lost |= kind is AttemptKind.CONNECTION_LOST
         self._may_have_run = self._may_have_run or attempt.may_have_run
 
+    def refused(self, refusal):
+        """Record that no further upstream could be had."""
+        self._refusal = refusal
+
     def conclude(self):
         """Return the answer to the caller when no further attempt is made.
 
@@ -262,4 +277,6 @@
             return CONNECTION_RETRY_MS
         answer = self._last.answer
         value = answer.header("Retry-After") if answer else None
-        return int(value) * 1e3 if value and WHOLE_SECONDS.fullmatch(value) else None
+        if value and WHOLE_SECONDS.fullmatch(value):
+            return int(value) * 1e3
+        return self._refusal.retry_after_ms if self._refusal else None
--- a/src/monsoonline/entry/relay.py
+++ b/src/monsoonline/entry/relay.py
@@ -9,6 +9,7 @@
 
 from monsoonline.adapters.cancellation import Cancellation
 from monsoonline.adapters.http_upstream import ExchangeFailed
+from monsoonline.core.admission import TicketState
 from monsoonline.core.model import RefusalMeaning
 from monsoonline.core.routing import RouteTable
 from monsoonline.entry.outcomes import (
@@ -32,6 +33,8 @@
 FINGERPRINT_BYTES = 16
 HOSTS_CACHED = 1024
 HEDGE_THREADS = 256
+# A hedge counts as a second attempt: it earns no budget and is tried at once.
+HEDGE_ATTEMPTS = 1
 CALLER_FAULTS = frozenset((400, 413, 422, 428, 431))
 
 logger = logging.getLogger(__name__)
@@ -216,17 +219,21 @@
         while True:
             try:
                 assignment = self._acquire(route, deadline, fingerprint, history)
-            except Refusal:
+            except Refusal as refusal:
                 # The earlier attempt says more than that no other was possible.
                 if history.attempts:
+                    history.refused(refusal)
                     return self._conclude(history, deadline, fingerprint)
                 raise
-            history.begin(assignment.upstream.address)
+            address = assignment.upstream.address
+            history.begin(address)
             if route.idempotent and route.tolerance.hedges:
-                attempt = self._hedged(route, request, assignment, deadline, history)
+                attempt = self._hedged(
+                    route, request, assignment, deadline, history, fingerprint
+                )
             else:
                 attempt = self._attempt(route, request, assignment, deadline)
-            history.add(attempt)
+                history.add(attempt, address)
             if attempt.succeeded or not self._retry(route, attempt, deadline, history):
                 return self._conclude(history, deadline, fingerprint)
             self._metrics.count("retries_total", route=route.name)
@@ -234,8 +241,8 @@
     def _retry(self, route, attempt, deadline, history):
         if not history.repeatable or self._clock.now() >= deadline:
             return False
-        # No upstream saw the attempt, so another one adds no load. Each upstream is
-        # tried once, because those tried are excluded.
+        # No upstream saw the attempt, so another one adds no load. Each full
+        # connection pool is tried once, because its upstream is excluded.
         return history.limited or self._dispatcher.may_retry(
             route, attempts=history.reached, result=attempt.result
         )
@@ -259,6 +266,7 @@
                 deadline=deadline,
                 excluded=history.excluded,
                 fingerprint=fingerprint,
+                attempts=history.attempts,
             )
             stale = self._dispatcher.is_stale(assignment)
             if not stale and self._clock.now() < deadline:
@@ -314,43 +322,94 @@
         ran = kind is not AttemptKind.SHED
         return Attempt(result=result, may_have_run=ran, answer=answer)
 
-    def _hedged(self, route, request, assignment, deadline, history):
-        """Run an attempt, and a duplicate of it when it takes long."""
+    def _hedged(self, route, request, assignment, deadline, history, fingerprint):
+        """Run an attempt, and a duplicate of it when it takes long.
+
+        :returns: the first success, otherwise the last attempt to end; the history
+            has each attempt that ended
+        """
         legs = {}
-        self._start_leg(legs, route, request, assignment, deadline)
-        delay_ms = self._dispatcher.hedge_delay_ms(route)
-        for _ in range(route.tolerance.hedges):
-            done, _ = concurrent.futures.wait(legs, timeout=delay_ms / 1e3)
-            if done or not self._dispatcher.may_hedge(route):
-                break
-            try:
-                second = self._dispatcher.acquire(
-                    route, deadline=self._clock.now(), excluded=history.excluded
-                )
-            except Refusal:
-                # A hedge uses free slots only, so it never waits in the queue.
-                break
-            history.begin(second.upstream.address)
+
+        def start(target):
+            leg, cancellation = self._start_leg(route, request, target, deadline)
+            legs[leg] = (target.upstream.address, cancellation)
+
+        def hedge():
+            target = self._free_upstream(route, deadline, history, fingerprint)
+            if target is None:
+                return False
+            history.begin(target.upstream.address)
             self._metrics.count("hedges_total", route=route.name)
-            self._start_leg(legs, route, request, second, deadline)
-        return self._first_success(legs)
+            start(target)
+            return True
+
+        try:
+            start(assignment)
+            delay_ms = self._dispatcher.hedge_delay_ms(route)
+            for _ in range(route.tolerance.hedges):
+                if first_ended(legs, timeout_ms=delay_ms):
+                    break
+                if not self._dispatcher.may_hedge(route) or not hedge():
+                    break
+            return self._first_success(route, legs, deadline, history, hedge)
+        finally:
+            for _, cancellation in legs.values():
+                cancellation.cancel()
 
-    def _start_leg(self, legs, route, request, assignment, deadline):
+    def _start_leg(self, route, request, assignment, deadline):
         caller = request.cancellation.caller if request.cancellation else None
         cancellation = Cancellation(caller=caller)
         leg = self._hedges.submit(
             self._attempt, route, request, assignment, deadline, cancellation
         )
-        legs[leg] = cancellation
-
-    @staticmethod
-    def _first_success(legs):
-        """Return the first success, or the last attempt; cancel the others."""
-        for leg in concurrent.futures.as_completed(legs):
-            attempt = leg.result()
-            if attempt.succeeded:
-                break
-        for leg, cancellation in legs.items():
-            if not leg.done():
-                cancellation.cancel()
-        return attempt
+        return leg, cancellation
+
+    def _free_upstream(self, route, deadline, history, fingerprint):
+        """Return an assignment that is free at once, or ``None``.
+
+        A hedge that would wait in a queue is worth nothing.
+        """
+        ticket = self._dispatcher.enqueue(
+            route,
+            deadline=deadline,
+            excluded=history.excluded,
+            fingerprint=fingerprint,
+            attempts=HEDGE_ATTEMPTS,
+            notify=lambda: None,
+        )
+        if ticket.state is TicketState.WAITING:
+            self._dispatcher.expire(ticket)
+        return ticket.assignment
+
+    def _first_success(self, route, legs, deadline, history, hedge):
+        """Return the first success, or the last attempt to end.
+
+        :param legs: the open attempts; those that end are removed
+        :param hedge: places one more attempt at a free upstream
+        """
+        while True:
+            for leg in first_ended(legs):
+                address, _ = legs.pop(leg)
+                attempt = leg.result()
+                history.add(attempt, address)
+                if attempt.succeeded:
+                    return attempt
+            if not legs:
+                return attempt
+            # The refused attempt is placed again while the other one is open.
+            if self._shed_in_time(attempt, deadline) and self._dispatcher.may_retry(
+                route, attempts=history.reached, result=attempt.result
+            ):
+                hedge()
+
+    def _shed_in_time(self, attempt, deadline):
+        shed = attempt.result.kind is AttemptKind.SHED
+        return shed and self._clock.now() < deadline
+
+
+def first_ended(legs, *, timeout_ms=None):
+    """Wait until an attempt ends; return those that have ended, or none in time."""
+    timeout = None if timeout_ms is None else timeout_ms / 1e3
+    return concurrent.futures.wait(
+        legs, timeout=timeout, return_when=concurrent.futures.FIRST_COMPLETED
+    ).done
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -29,6 +29,7 @@
     Tolerance,
     Upstream,
 )
+from monsoonline.core.retries import MAX_PLACEMENTS
 from monsoonline.entry.relay import Relay, fingerprint_of
 from monsoonline.errors import Refusal
 from monsoonline.metrics import Metrics
@@ -41,6 +42,7 @@
     b"HTTP/1.1 503 Busy\r\nMonsoonline-Not-Run: true\r\nRetry-After: 2\r\n"
     b"Content-Length: 0\r\n\r\n"
 )
+SHED_503 = CERTIFIED_503.replace(b"Retry-After: 2\r\n", b"")
 TIMEOUT_SECONDS = 5.0
 
 
@@ -212,6 +214,66 @@
         self.assertIsNone(self.lookup().header("Monsoonline-Outcome"))
 
 
+def shed_once(_, request):
+    """Script of an upstream that has a free slot for the second request."""
+    return SHED_503 if request == 1 else OK
+
+
+class TestPlacements(RelayCase):
+    """A request that upstreams refused for their load is placed again."""
+
+    def spy(self, name):
+        """Return the calls of a method of the dispatcher."""
+        wrapped = getattr(self.dispatcher, name)
+        patch = mock.patch.object(self.dispatcher, name, side_effect=wrapped)
+        self.addCleanup(patch.stop)
+        return patch.start()
+
+    def test_upstream_that_shed_is_asked_again(self):
+        """Excluded for good, a full pool is used up within one service time."""
+        self.start(shed_once)
+        acquired, allowed = self.spy("acquire"), self.spy("may_retry")
+        self.assertEqual(self.book().body, b"ok")
+        self.assertEqual(self.runs(), [2])
+        self.assertEqual([c.kwargs["attempts"] for c in acquired.mock_calls], [0, 1])
+        self.assertEqual([c.kwargs["attempts"] for c in allowed.mock_calls], [1])
+
+    def test_placements_end_at_the_limit_of_the_dispatcher(self):
+        """Without a limit a full pool would be asked until the deadline."""
+        self.start(lambda *_: SHED_503)
+        self.assert_refused(self.book(), 503, "not-run")
+        self.assertEqual(self.runs(), [MAX_PLACEMENTS + 1])
+
+    def test_booking_that_may_have_run_is_not_placed_again(self):
+        """A certificate covers its own attempt, not one that was lost later."""
+        self.start(lambda _, n: SHED_503 if n == 1 else CUT, lambda *_: OK)
+        self.assert_refused(self.book(), 502, "unknown")
+        self.assertEqual(self.runs(), [2, 0])
+
+    def test_refusal_of_the_queue_says_when_to_try_again(self):
+        self.start(lambda *_: SHED_503)
+        full = Refusal(
+            "full",
+            code="overloaded",
+            outcome=Outcome.NOT_RUN,
+            status=503,
+            retry_after_ms=1234.5,
+        )
+        acquire = self.dispatcher.acquire
+
+        def acquire_once(*arguments, attempts, **options):
+            if attempts:
+                raise full
+            return acquire(*arguments, attempts=attempts, **options)
+
+        with mock.patch.object(self.dispatcher, "acquire", acquire_once):
+            answer = self.book()
+        self.assert_refused(answer, 503, "not-run")
+        self.assertEqual(answer.header("Retry-After"), "2")
+        # Whole seconds would send all refused callers back at the same instant.
+        self.assertEqual(answer.header("Monsoonline-Retry-After-Ms"), "1235")
+
+
 class TestFinalRefusals(RelayCase):
     """A copy of a refused request arrives later than the refusal."""
 
@@ -480,6 +542,70 @@
         self.assertEqual(self.released[0], "succeeded")
         self.assertEqual(self.metrics.value("hedges_total", route="lookup"), 1)
 
+    def hedged_lookup(self):
+        with mock.patch.object(self.dispatcher, "hedge_delay_ms", lambda route: 20.0):
+            return self.lookup()
+
+    def test_hedge_has_the_fingerprint_of_its_request(self):
+        """A hedge could crash a second upstream without being recognised."""
+        self.start(lambda *_: None, lambda *_: OK, hedges=1)
+        enqueue, seen = self.dispatcher.enqueue, []
+
+        def record(route, *, fingerprint, **options):
+            seen.append(fingerprint)
+            return enqueue(route, fingerprint=fingerprint, **options)
+
+        with mock.patch.object(self.dispatcher, "enqueue", record):
+            self.assertEqual(self.hedged_lookup().body, b"ok")
+        request = Request(method="GET", host="a", target="/lookup")
+        self.assertEqual(seen, [fingerprint_of(request)] * 2)
+
+    def test_shed_hedge_is_placed_again(self):
+        """A hedge that a busy upstream refused would leave the request waiting."""
+        self.start(lambda *_: None, shed_once, hedges=1)
+        self.assertEqual(self.hedged_lookup().body, b"ok")
+        self.assertEqual(self.runs(), [1, 2])
+        self.assertEqual(self.metrics.value("hedges_total", route="lookup"), 2)
+
+    def test_hedge_does_not_wait_in_the_queue(self):
+        """A waiting hedge would take a slot after its request has its answer."""
+        proceed = threading.Event()
+        self.start(lambda *_: proceed.wait(TIMEOUT_SECONDS) and OK, hedges=1)
+        pool = self.dispatcher.pools["p"]
+        expire = self.dispatcher.expire
+
+        def expire_then_proceed(ticket):
+            expire(ticket)
+            proceed.set()
+
+        with (
+            mock.patch.object(type(pool), "limit", 1),
+            mock.patch.object(self.dispatcher, "expire", expire_then_proceed),
+            mock.patch.object(pool, "_impossible", lambda ticket, now: None),
+        ):
+            self.assertEqual(self.hedged_lookup().body, b"ok")
+        self.assertEqual(pool.queues.waiting, 0)
+        self.assertEqual(self.runs(), [1])
+
+    def test_lost_first_attempt_counts_when_the_hedge_is_shed_last(self):
+        """The certificate of the hedge says nothing about the first attempt."""
+        arrived = threading.Event()
+
+        def lose(*_):
+            arrived.wait(TIMEOUT_SECONDS)
+            return CUT
+
+        def shed_last(*_):
+            arrived.set()
+            limit = time.monotonic() + TIMEOUT_SECONDS
+            while not self.released and time.monotonic() < limit:
+                time.sleep(0.002)
+            return CERTIFIED_503
+
+        self.start(lose, shed_last, hedges=1)
+        self.assert_refused(self.hedged_lookup(), 503, "unknown")
+        self.assertEqual(self.released, ["connection-lost", "shed"])
+
     def test_booking_is_never_hedged(self):
         self.start(lambda *_: self.clock.sleep(60.0) or OK, lambda *_: OK, hedges=1)
         with mock.patch.object(self.dispatcher, "hedge_delay_ms", lambda route: 1.0):
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -200,6 +200,12 @@
         self.assertIs(self.book().call_status, CallStatus.OK)
         self.assertGreaterEqual(times[1] - times[0], 1.0)
 
+    def test_exact_time_counts_more_than_whole_seconds(self):
+        """Rounded up, all refused callers would come back at the same instant."""
+        headers = {"Retry-After": "9", "Monsoonline-Retry-After-Ms": "60"}
+        self.first.script = [refusal(503, "not-run", "no-slot", **headers)]
+        self.assertIs(self.book().call_status, CallStatus.OK)
+
     def test_missing_seeds_are_named(self):
         caller = Caller(seeds=["127.0.0.1:1"])
         with self.assertRaisesRegex(NoEntry, "127.0.0.1:1"):
