Send more and earlier hedges while a pool has idle slots

Change: while under 20 % of the attempts are refused for load, hedges are sent at the 70th percentile and have a further budget of 20 % of the first attempts. Otherwise the former 10 % at the 90th percentile apply.

--- a/src/monsoonline/core/dispatch.py
+++ b/src/monsoonline/core/dispatch.py
@@ -225,14 +225,19 @@
 
     def may_hedge(self, route):
         """Tell whether the budget allows a second simultaneous attempt."""
-        return self._budget(route).may_hedge(route)
+        pool = self._pools.get(route.pool)
+        spare = pool is not None and pool.has_spare_slots
+        return self._budget(route).may_hedge(route, spare=spare)
 
     def hedge_delay_ms(self, route):
         """Return the time after which an unanswered lookup may be hedged."""
-        delay = self._budget(route).hedge_delay_ms
+        budget = self._budget(route)
+        delay = budget.hedge_delay_ms
         pool = self._pools.get(route.pool)
         if pool is None:
             return delay
+        if pool.has_spare_slots:
+            return budget.spare_hedge_delay_ms
         # In a saturated pool hedges take slots from first attempts, so only those
         # of a request on a slow upstream are worth it.
         return delay * (1.0 + HEDGE_DELAY_PER_SHED * pool.shed_share)
--- a/src/monsoonline/core/pool_dispatch.py
+++ b/src/monsoonline/core/pool_dispatch.py
@@ -25,6 +25,8 @@
 # Share of refusals by upstreams above which the pool counts as overloaded.
 SHED_TARGET = 0.6
 SHED_WEIGHT = 0.05
+# Share of refusals by upstreams below which the pool counts as having idle slots.
+SPARE_SHED_SHARE = 0.2
 # Attempts after which a request waits for the next answer at its entry.
 TRIES_AT_ONCE = 2
 # Summing costs time per peer and upstream, so it is not done for each message.
@@ -100,6 +102,11 @@
         """Share of the attempts that upstreams refused for their load, averaged."""
         return self._shed_share
 
+    @property
+    def has_spare_slots(self):
+        """Whether so few attempts are refused that some slots must be idle."""
+        return self._shed_share < SPARE_SHED_SHARE
+
     @property
     def limit(self):
         """Attempts of this entry that may be in flight."""
--- a/src/monsoonline/core/retries.py
+++ b/src/monsoonline/core/retries.py
@@ -20,6 +20,10 @@
 # Allows a few repeats when a route has little traffic.
 RESERVE = 10.0
 HEDGE_QUANTILE = 0.9
+# While the pool has idle slots, hedges cost no other request its slot, so more of
+# them are sent, and earlier.
+SPARE_HEDGE_SHARE = 0.2
+SPARE_HEDGE_QUANTILE = 0.7
 QUANTILE_STEP = 0.05
 INITIAL_HEDGE_DELAY_MS = 50.0
 MIN_HEDGE_DELAY_MS = 1.0
@@ -89,30 +93,36 @@
         self._lock = threading.Lock()
         self._retries = RepeatBudget(share=RETRY_SHARE)
         self._hedges = RepeatBudget(share=HEDGE_SHARE)
+        self._spare_hedges = RepeatBudget(share=SPARE_HEDGE_SHARE)
         self._placements = RepeatBudget(
             share=PLACEMENT_SHARE, reserve=PLACEMENT_RESERVE
         )
         self._latency = LatencyQuantile(quantile=HEDGE_QUANTILE)
+        self._spare_latency = LatencyQuantile(quantile=SPARE_HEDGE_QUANTILE)
 
     @property
     def hedge_delay_ms(self):
         """Time after which a lookup may be sent a second time."""
-        value = self._latency.value
-        if value is None:
-            return INITIAL_HEDGE_DELAY_MS
-        return max(MIN_HEDGE_DELAY_MS, value)
+        return self._delay_of(self._latency)
+
+    @property
+    def spare_hedge_delay_ms(self):
+        """The same while the pool has idle slots."""
+        return self._delay_of(self._spare_latency)
 
     def first_attempt(self):
         """Count a first attempt."""
         with self._lock:
             self._retries.earn()
             self._hedges.earn()
+            self._spare_hedges.earn()
             self._placements.earn()
 
     def observe(self, latency_ms):
         """Record the latency of a first attempt, or a lower bound of it."""
         with self._lock:
             self._latency.observe(latency_ms)
+            self._spare_latency.observe(latency_ms)
 
     def may_retry(self, route, *, attempts, result):
         """Tell whether another attempt is allowed, and count it.
@@ -136,9 +146,19 @@
         with self._lock:
             return attempts <= MAX_PLACEMENTS and self._placements.spend()
 
-    def may_hedge(self, route):
-        """Tell whether a second simultaneous attempt is allowed, and count it."""
+    def may_hedge(self, route, *, spare=False):
+        """Tell whether a second simultaneous attempt is allowed, and count it.
+
+        :param route: the route
+        :param spare: whether the pool has idle slots
+        """
         if not route.idempotent or route.tolerance.hedges < 1:
             return False
         with self._lock:
-            return self._hedges.spend()
+            return (spare and self._spare_hedges.spend()) or self._hedges.spend()
+
+    @staticmethod
+    def _delay_of(latency):
+        if latency.value is None:
+            return INITIAL_HEDGE_DELAY_MS
+        return max(MIN_HEDGE_DELAY_MS, latency.value)
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -34,6 +34,24 @@
         thread.join(timeout=5.0)
         self.assertEqual(got[0].upstream, first.upstream)
 
+    def test_pool_that_sheds_gets_fewer_and_later_hedges(self):
+        """Hedges in a full pool take the slots of first attempts."""
+        dispatcher = make_dispatcher(make_pool())
+        route = make_route()
+        figures = []
+        for kind in (AttemptKind.SUCCEEDED, AttemptKind.SHED):
+            hedges = 0
+            for index in range(400):
+                assignment = dispatcher.acquire(route, deadline=1e9)
+                latency_ms = 5.0 * (1 + index % 20)
+                result = result_of(kind, latency_ms=latency_ms)
+                dispatcher.release(assignment, result)
+                hedges += dispatcher.may_hedge(route)
+            figures.append((hedges, dispatcher.hedge_delay_ms(route)))
+        (idle, early_ms), (full, late_ms) = figures
+        self.assertGreater(idle, 2 * full)
+        self.assertGreater(late_ms, 2 * early_ms)
+
     def test_threads_never_hold_more_than_the_slots(self):
         """A race between acquire and release must not overbook an upstream."""
         clock = SystemClock()
--- a/tests/core/test_retries.py
+++ b/tests/core/test_retries.py
@@ -39,6 +39,17 @@
             hedges += budgets.may_hedge(make_route())
         self.assertLessEqual(hedges, 110)
 
+    def test_hedges_for_idle_slots_stay_within_their_share(self):
+        """Slow answers of a whole pool must not double its load."""
+        budgets = RouteBudgets()
+        hedges = 0
+        for _ in range(1_000):
+            budgets.first_attempt()
+            hedges += budgets.may_hedge(make_route(), spare=True)
+            hedges += budgets.may_hedge(make_route(), spare=True)
+        self.assertLessEqual(hedges, 320)
+        self.assertGreaterEqual(hedges, 290)
+
     def test_hedge_delay_follows_a_high_quantile(self):
         budgets = RouteBudgets()
         for index in range(5_000):
