--- a/src/monsoonline/core/admission.py
+++ b/src/monsoonline/core/admission.py
@@ -21,7 +21,9 @@
 QUEUE_TARGET = 4.0
 DECREASE = 0.9
 INCREASE = 1.0
-FLOOR_SHARE = 1.0
+# Even shares of the slots below which the limit of an entry does not fall. With one
+# share, requests wait at one entry while another one's share is free.
+FLOOR_SHARE = 2.0
 INITIAL_SLOT_SHARE = 1.0
 
 
@@ -114,10 +116,11 @@
     def share(self, entries):
         """Use the number of entries that share the pool.
 
-        The limit does not fall below this entry's even share of the slots: the
-        shares of all entries together fill the pool without a queue.
+        The limit does not fall below :data:`FLOOR_SHARE` even shares of the slots,
+        because the requests do not arrive evenly at the entries.
         """
-        self._floor = max(1.0, FLOOR_SHARE * self._slots / entries)
+        share = self._slots / entries
+        self._floor = max(1.0, min(self._slots, FLOOR_SHARE * share))
 
     def resize(self, slots):
         """Use a new number of slots."""
