Tell a starting entry which requests have crashed upstreams

Change: a starting entry asks up to three ready peers for the leaving upstreams and the latest crash reports before it is ready; it waits for listed peers for at most 3 s. Conclusion: a drain or crash that happens between the reply and readiness comes by gossip as before.

--- a/src/monsoonline/core/crashes.py
+++ b/src/monsoonline/core/crashes.py
@@ -188,15 +188,15 @@
         """Return the reports to share since the last call."""
         with self._lock:
             names, self._unsent = dict.fromkeys(self._unsent), []
-            return tuple(
-                CrashReport(
-                    fingerprint=name,
-                    incidents=self._suspects[name].incidents,
-                    cleared=self._suspects[name].cleared,
-                )
-                for name in names
-                if name in self._suspects
-            )
+            return self._reports(name for name in names if name in self._suspects)
+
+    def latest_reports(self, count):
+        """Return the reports of the requests that were suspected last.
+
+        :param count: largest number of reports
+        """
+        with self._lock:
+            return self._reports(list(self._suspects)[-count:])
 
     def observe(self, report):
         """Merge a peer's :class:`CrashReport`."""
@@ -208,6 +208,16 @@
                 self._clock.now(),
             )
 
+    def _reports(self, names):
+        return tuple(
+            CrashReport(
+                fingerprint=name,
+                incidents=self._suspects[name].incidents,
+                cleared=self._suspects[name].cleared,
+            )
+            for name in names
+        )
+
     def _incident(self, address, now):
         known = self._incidents.get(address)
         if known is not None and now - known[1] < INCIDENT_MS:
--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -31,6 +31,7 @@
 
 STATE_INTERVAL_MS = 100.0
 VM_LIST_INTERVAL_MS = 2000.0
+JOIN_INTERVAL_MS = 250.0
 OPERATIONS_WORKERS = 64
 ISOLATED_RETRY_MS = 1000.0
 
@@ -291,8 +292,11 @@
             self._follow_state()
 
     def _run_machines(self):
-        while not self._stopping.wait(VM_LIST_INTERVAL_MS / 1e3):
+        interval_ms = JOIN_INTERVAL_MS
+        while not self._stopping.wait(interval_ms / 1e3):
             self._path.read_machines()
+            if self._path.informed:
+                interval_ms = VM_LIST_INTERVAL_MS
 
     def _follow_state(self):
         """Become ready with the configuration, and share what is new."""
--- a/src/monsoonline/entry/sharing.py
+++ b/src/monsoonline/entry/sharing.py
@@ -13,11 +13,16 @@
 LOAD_KIND = "load"
 CRASH_KIND = "crash"
 DRAIN_KIND = "drain"
-# Request that returns the leaving upstreams, so that a starting entry does not wait
-# for the items to come by gossip.
-LEAVING_REQUEST = "leaving-upstreams"
-LEAVING_TIMEOUT_MS = 1000.0
-LEAVING_PEERS = 3
+# Request that returns the leaving upstreams and the requests suspected of crashes.
+# Gossip tells a starting entry only what is new after its start.
+FACTS_REQUEST = "decision-facts"
+FACTS_TIMEOUT_MS = 1000.0
+FACTS_PEERS = 3
+# Keeps the reply of at most 512 bytes a report below the 1 MiB of a peer message.
+MAX_CRASH_REPORTS = 1024
+# Listed entries that do not answer by then may all have failed.
+JOIN_LIMIT_MS = 3000.0
+ENTRY_ROLE = "entry"
 PEER_SOURCE = "peer"
 VM_LIST_SOURCE = "vm-list"
 UPSTREAM_ROLE = "upstream"
@@ -44,19 +49,22 @@
         self._peers = peers
         self._published_drains = frozenset()
         self._listed = frozenset()
+        self._entries_listed = 0
+        self._started_at = clock.now()
         self._load_shared_at = clock.now()
         self._informed = peers is None
         if peers is not None:
             peers.subscribe(LOAD_KIND, self._take_load)
             peers.subscribe(CRASH_KIND, self._take_crash)
             peers.subscribe(DRAIN_KIND, self._take_drain)
-            peers.serve(LEAVING_REQUEST, self._answer_leaving)
+            peers.serve(FACTS_REQUEST, self._answer_facts)
 
     @property
     def informed(self):
-        """Whether the upstreams that peers or the VM list know as leaving are known.
+        """Whether the leaving upstreams and suspected requests of others are known.
 
-        Until then the entry could send new work to an upstream that left long ago.
+        Until then the entry could send new work to an upstream that left long ago,
+        or a request that has crashed others.
         """
         return self._informed
 
@@ -80,11 +88,14 @@
                 self._peers.publish(LOAD_KIND, pool, payload)
 
     def read_machines(self):
-        """Take the leaving upstreams from the VM list, and from peers at the start."""
+        """Read the VM list for leaving upstreams, and ask peers for facts at the start.
+
+        Called until :attr:`informed`, and regularly after that.
+        """
         listed = self._read_leaving_machines()
         if not self._informed:
             told = self._ask_peers()
-            self._informed = listed or told
+            self._informed = told or (listed and not self._expects_peers())
 
     def _read_leaving_machines(self):
         try:
@@ -100,31 +111,51 @@
         for address in self._listed - leaving:
             self._dispatcher.set_leaving(address, source=VM_LIST_SOURCE, leaving=False)
         self._listed = leaving
+        self._entries_listed = sum(
+            row.role == ENTRY_ROLE and not row.leaving for row in rows
+        )
         return True
 
+    def _others(self):
+        return [m for m in self._peers.members()[1:] if m.state == "alive"]
+
+    def _expects_peers(self):
+        """Tell whether another entry may still tell what it knows."""
+        if self._clock.now() - self._started_at >= JOIN_LIMIT_MS:
+            return False
+        others = self._others()
+        return any(m.ready for m in others) or self._entries_listed > len(others) + 1
+
     def _ask_peers(self):
-        """Ask some live peers for the leaving upstreams; return whether one replied."""
-        others = [
-            m for m in self._peers.members()[1:] if m.state == "alive" and m.ready
-        ]
+        """Ask some ready peers for what they know; return whether one replied."""
+        others = [member for member in self._others() if member.ready]
         if not others:
             return False
-        with concurrent.futures.ThreadPoolExecutor(LEAVING_PEERS) as executor:
-            return any(list(executor.map(self._ask_peer, others[:LEAVING_PEERS])))
+        with concurrent.futures.ThreadPoolExecutor(FACTS_PEERS) as executor:
+            return any(list(executor.map(self._ask_peer, others[:FACTS_PEERS])))
 
     def _ask_peer(self, member):
         try:
             payload = self._peers.request(
-                member, LEAVING_REQUEST, b"", timeout_ms=LEAVING_TIMEOUT_MS
+                member, FACTS_REQUEST, b"", timeout_ms=FACTS_TIMEOUT_MS
             )
         except PeerUnavailable:
             return False
-        for address in orjson.loads(payload):
+        facts = orjson.loads(payload)
+        for address in facts["leaving"]:
             self._dispatcher.set_leaving(address, source=PEER_SOURCE)
+        for report in facts["crashes"]:
+            self._dispatcher.observe_crash(report.encode())
         return True
 
-    def _answer_leaving(self, _name, _payload):
-        return orjson.dumps(sorted(self._dispatcher.leaving))
+    def _answer_facts(self, _name, _payload):
+        reports = self._dispatcher.crashes.latest_reports(MAX_CRASH_REPORTS)
+        return orjson.dumps(
+            {
+                "leaving": sorted(self._dispatcher.leaving),
+                "crashes": [report.encode().decode() for report in reports],
+            }
+        )
 
     def _share_drains(self):
         """Publish the drains that this entry saw itself, once each.
--- a/tests/entry/test_sharing.py
+++ b/tests/entry/test_sharing.py
@@ -107,6 +107,21 @@
         third.read_machines()
         self.assertFalse(third.informed)
 
+    def test_listed_peer_that_never_answers_delays_the_start_only(self):
+        """An entry must not wait for ever for entries that have failed."""
+        third = self.start("third")
+        self.hub.leave("first")
+        self.hub.leave("second")
+        self.machines.rows = tuple(
+            VirtualMachine(name=name, role="entry", address=name, failure_domain="a")
+            for name in ("first", "third")
+        )
+        third.read_machines()
+        self.assertFalse(third.informed)
+        self.clock.advance(3000.0)
+        third.read_machines()
+        self.assertTrue(third.informed)
+
     def test_vm_list_marks_and_clears(self):
         row = VirtualMachine(
             name="u", role="upstream", address=ADDRESS, failure_domain="a", leaving=True
@@ -136,6 +151,20 @@
         self.assertEqual(caught.exception.outcome.value, "not-run")
         self.attempt(self.second, AttemptKind.SUCCEEDED, fingerprint="g")
 
+    def test_starting_entry_learns_of_earlier_crashes(self):
+        """An entry that joins lost two more upstreams to the same request."""
+        for sharing in (self.first, self.second):
+            self.attempt(sharing, AttemptKind.CONNECTION_LOST, fingerprint="f")
+            self.clock.advance(100.0)
+            for entry in (self.first, self.second):
+                entry.tick()
+        self.machines.rows = ()
+        third = self.start("third")
+        third.read_machines()
+        self.assertTrue(third.informed)
+        with self.assertRaises(Refusal):
+            self.attempt(third, AttemptKind.SUCCEEDED, fingerprint="f")
+
 
 class TestLoad(SharingCase):
     """Requests in flight at one entry count at the other."""
