Record that truncated bodies block a lookup, and print refusal codes

Cause: in a run of all checks the scenario of a killed upstream had 9 refused lookups. The scenario before it truncates bodies at all upstreams and left its deployment for reuse. Entries count a truncated body as a crash, and a lookup with two of them is refused as crashing-request for 10 minutes. Change: that scenario's deployment is not used again; accounts print the codes of refusals; a known-red scenario shows the fault alone: all bodies truncated for one lookup, the upstreams recover, and the lookup is still refused (422). After: the killed upstream's scenario passed after the truncating ones in one run, and the new one fails as recorded. Conclusion: the fault is in what counts as a crash and needs a design decision: an answer that has begun is weak evidence, and a blocked request cannot clear itself.

--- a/features/failure_truncated_bodies.feature
+++ b/features/failure_truncated_bodies.feature
@@ -20,3 +20,12 @@
     And the load stops
     Then some bookings stay unknown
     And no call is lost, doubled, partial, mismatched or wrongly reported as not run
+
+  @known_red
+  Scenario: A lookup whose bodies were truncated is answered when the fault has ended
+    Given a deployment of 3 entries and 3 upstreams
+    And every upstream sends all of its bodies truncated
+    When a lookup is sent through entry "entry-1"
+    And the upstreams recover
+    And a lookup is sent through entry "entry-1"
+    Then the last lookup is answered
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -47,6 +47,20 @@
         assert found == expected, (found, expected)
 
 
+@when('a lookup is sent through entry "{name}"')
+def send_lookup(context, name):
+    address = context.deployment.entries[name].callers
+    context.lookup_reply = exchange(
+        address, "GET", f"{LOOKUPS}/1", seconds=CRASH_SEND_SECONDS
+    )
+
+
+@then("the last lookup is answered")
+def lookup_answered(context):
+    reply = context.lookup_reply
+    assert reply.status == 200, (reply.status, reply.code)
+
+
 @when("a caller resends a request that crashes its upstream through every entry")
 def resend_crashing(context):
     damage(context)
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from support.accounting import account
+from support.accounting import account, refusal_codes
 from support.load import Load
 
 MINIMUM_CALLS = 50
@@ -38,6 +38,7 @@
     context.deployment.wait_quiet()
     context.account = account(context.calls, runs_of(context))
     print(f"  {context.account}")
+    print(f"  refusals: {refusal_codes(context.calls)}")
     assert len(context.calls) >= MINIMUM_CALLS, len(context.calls)
 
 
--- a/features/steps/upstream_steps.py
+++ b/features/steps/upstream_steps.py
@@ -53,9 +53,18 @@
 
 
 @given("every upstream sends a fifth of its bodies truncated")
-def truncate_everywhere(context):
-    for name in context.deployment.upstreams:
-        configure(context, name, truncate=0.2)
+def truncate_some(context):
+    truncate_everywhere(context, 0.2)
+
+
+@given("every upstream sends all of its bodies truncated")
+def truncate_all(context):
+    truncate_everywhere(context, 1.0)
+
+
+@when("the upstreams recover")
+def upstreams_recover(context):
+    context.deployment.reset_upstreams()
 
 
 @given("every upstream sends each answer twice")
@@ -172,6 +181,14 @@
     assert sum(counts) > 0, "the fault had no effect"
 
 
+def truncate_everywhere(context, share):
+    """Truncate bodies at all upstreams."""
+    # Entries remember requests that lost two connections for 10 minutes.
+    damage(context)
+    for name in context.deployment.upstreams:
+        configure(context, name, truncate=share)
+
+
 def send_repeatedly(address, stopping):
     """Occupy a slot of an upstream until an event is set."""
     while not stopping.wait(0.005):
--- a/features/support/accounting.py
+++ b/features/support/accounting.py
@@ -7,7 +7,7 @@
 
 from monsoonline.caller import CallStatus
 
-__all__ = ["Account", "account", "largest_probe_rate"]
+__all__ = ["Account", "account", "largest_probe_rate", "refusal_codes"]
 
 FAILURE_STATUS = 500
 WINDOW_MS = 1000.0
@@ -64,6 +64,17 @@
     return "ok" if call.result.status < FAILURE_STATUS else "failed"
 
 
+def refusal_codes(calls):
+    """Return how often each code was the last word of a lookup or booking."""
+    return dict(
+        collections.Counter(
+            ("booking" if call.booking else "lookup") + f" {call.result.code}"
+            for call in calls
+            if call.result and call.result.code
+        )
+    )
+
+
 def fault_of_body(call):
     """Return ``partial`` or ``mismatched`` for a wrong answer, otherwise ``None``."""
     try:
