Avoid upstreams with an overdue attempt while a pool is full

Its slowness shows in answers only after five times the normal latency.

Change: while the pool has few idle slots, the expected time at an upstream grows with the age of its oldest open attempt beyond 2.5 mean latencies. Assignments carry their start for this.

--- a/src/monsoonline/core/load_view.py
+++ b/src/monsoonline/core/load_view.py
@@ -26,6 +26,9 @@
 SPEED_WEIGHT = 0.1
 OVERTAKEN_WEIGHT = 0.8
 MAX_UNANSWERED = 5
+# Mean latencies after which an open attempt says that its upstream is slow. An answer
+# would say so too, but only after several times that.
+OVERDUE_MEANS = 2.5
 MEAN_WEIGHT = 0.02
 INITIAL_LATENCY_MS = 20.0
 RECENT_REPORTS = 16
@@ -58,6 +61,7 @@
         "speed",
         "speed_at",
         "speed_lifetime_ms",
+        "started",
         "unanswered",
         "upstream",
     )
@@ -77,6 +81,8 @@
         self.speed_lifetime_ms = SPEED_LIFETIME_MS
         self.position = -1
         self.unanswered = 0
+        # Starts of the open attempts, at most one per slot.
+        self.started = []
 
     @property
     def address(self):
@@ -103,6 +109,9 @@
         self._report_lifetime_ms = INITIAL_LATENCY_MS * REPORT_LIFETIME_SHARE
         self._mean_others = 0.0
         self._queue_share = 0.0
+        # Whether few slots are idle. While many are, hedges rescue overdue requests,
+        # and avoiding their upstreams made the tail slightly longer.
+        self.saturated = False
         self.update(pool)
 
     def update(self, pool):
@@ -202,6 +211,11 @@
                 speed = 1.0 + (speed - 1.0) * math.exp(-age)
             else:
                 speed = state.speed = 1.0
+        if self.saturated and state.started:
+            overdue = now - state.started[0]
+            overdue /= self.mean_latency_ms * OVERDUE_MEANS
+            if overdue > 1.0:
+                speed *= overdue
         penalty = state.health.penalty
         if penalty:
             load += state.health.penalty_at(now)
@@ -212,18 +226,21 @@
         wait = load * load if load < 1.0 else 2.0 * load - 1.0
         return speed * (1.0 + wait)
 
-    def start(self, state):
+    def start(self, state, now):
         """Count one request of this entry."""
         state.in_flight += 1
+        state.started.append(now)
 
-    def finish(self, state, result, now):
+    def finish(self, state, result, now, *, started):
         """Learn from the end of an attempt.
 
         :param state: the upstream's state
         :param result: the :class:`monsoonline.types.AttemptResult`
         :param now: the time in ms
+        :param started: the time of its :meth:`start`
         """
         state.in_flight -= 1
+        state.started.remove(started)
         self._learn_latency(state, result, now)
         if result.load is not None:
             self.report(state, result.load, now)
--- a/src/monsoonline/core/pool_dispatch.py
+++ b/src/monsoonline/core/pool_dispatch.py
@@ -43,6 +43,7 @@
     :param fingerprint: digest of the request, or ``None``
     :param first: whether it is the first attempt of its request
     :param state: the upstream's load state, for the dispatcher's own use
+    :param started: the time in ms when it was granted
     """
 
     pool: str
@@ -51,6 +52,7 @@
     fingerprint: str | None = None
     first: bool = True
     state: object = None
+    started: float = 0.0
 
 
 class PoolDispatcher:
@@ -173,9 +175,10 @@
         now = self._clock.now()
         with self._lock:
             state = assignment.state
-            self._view.finish(state, result, now)
+            self._view.finish(state, result, now, started=assignment.started)
             shed = float(result.kind is AttemptKind.SHED)
             self._shed_share += SHED_WEIGHT * (shed - self._shed_share)
+            self._view.saturated = not self.has_spare_slots
             self._limit.answered(
                 in_flight=self._in_flight,
                 queue_share=self._view.queue_share,
@@ -245,7 +248,7 @@
         state = self._policy.choose(self._view, now, ticket.excluded)
         if state is None:
             return False
-        self._view.start(state)
+        self._view.start(state, now)
         self._in_flight += 1
         if ticket.fingerprint is not None:
             self._crashes.started(state.address, ticket.fingerprint)
@@ -256,6 +259,7 @@
             fingerprint=ticket.fingerprint,
             first=not ticket.attempts,
             state=state,
+            started=now,
         )
         ticket.state = TicketState.GRANTED
         return True
--- a/tests/core/test_balancing.py
+++ b/tests/core/test_balancing.py
@@ -7,7 +7,7 @@
 from monsoonline.core.balancing import policies
 from monsoonline.core.load_view import LoadView
 from monsoonline.types import LoadReport
-from tests.core.decision_fixtures import make_pool
+from tests.core.decision_fixtures import make_pool, result_of
 
 
 class TestPolicies(unittest.TestCase):
@@ -47,6 +47,24 @@
         chosen = {policy.choose(view, 1.0, frozenset()).address for _ in range(50)}
         self.assertEqual(chosen, {idle.address})
 
+    def test_overdue_attempt_makes_its_upstream_unattractive(self):
+        """A server that became slow shows it by its answers only much later."""
+        view = self.view(targets=2)
+        slow, other = view.states
+        late = 20.0 * view.mean_latency_ms
+        view.start(slow, 0.0)
+        view.start(other, late)
+
+        def ratio():
+            return view.expected_ms(slow, late) / view.expected_ms(other, late)
+
+        self.assertEqual(ratio(), 1.0)
+        view.saturated = True
+        self.assertGreater(ratio(), 5.0)
+        answer = result_of(latency_ms=view.mean_latency_ms)
+        view.finish(slow, answer, late, started=0.0)
+        self.assertLess(ratio(), 1.0)
+
     def test_adaptive_looks_at_a_bounded_number_of_upstreams(self):
         """A scan of the whole pool would make the cost grow with its size."""
         looked = []
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -157,10 +157,10 @@
         for peer in peers:
             state = peer.pools["pool"].view.get(bad)
             for _ in range(2):
-                state.in_flight += 1
-                peer.pools["pool"].view.finish(
-                    state, result_of(AttemptKind.FAILED_ANSWER), 0.0
-                )
+                view = peer.pools["pool"].view
+                view.start(state, 0.0)
+                failed = result_of(AttemptKind.FAILED_ANSWER)
+                view.finish(state, failed, 0.0, started=0.0)
         dispatcher = make_dispatcher(pool)
         for peer in peers[::-1]:
             dispatcher.observe_peer(peer.snapshot())
