Test the slow and cold-start faults of the experiments

Cause: no test covered these two faults, so a fault without effect would have shown as a good result.

Change: a slow target gets fewer requests than each other one and its fault ends after its duration; a cold start loses the work in flight, serves nothing while it is stopped and serves again later, at full speed, without a booking that ran twice.

--- a/tests/bench/test_experiment.py
+++ b/tests/bench/test_experiment.py
@@ -62,6 +62,40 @@
         arrivals = results.upstreams["quotes"][0].arrivals
         self.assertEqual([t for t in arrivals if t > 800.0], [])
 
+    def test_slow_target_gets_less_until_its_fault_ends(self):
+        """A fault that does not slow its target would make each policy look good."""
+        fault = FaultDocument(kind="slow", at_ms=50.0, pool="quotes", target=0)
+        _, results = tiny_run(faults=(fault,), duration_ms=1_000.0, slow_spells=None)
+        slow, *others = results.upstreams["quotes"]
+        self.assertEqual(slow.factor, 5.0)
+        counts = sorted(len(upstream.arrivals) for upstream in others)
+        self.assertLess(len(slow.arrivals), counts[0])
+        ended = fault.model_copy(update={"duration_ms": 100.0})
+        _, results = tiny_run(faults=(ended,), slow_spells=None)
+        self.assertEqual(results.upstreams["quotes"][0].factor, 1.0)
+
+    def test_cold_start_loses_work_and_then_serves_again(self):
+        """A target that stays ejected would hide the return from a cold start."""
+        fault = FaultDocument(
+            kind="cold-start", at_ms=200.0, duration_ms=400.0, pool="quotes", target=0
+        )
+        _, results = tiny_run(
+            faults=(fault,), duration_ms=5_000.0, load=0.3, slow_spells=None
+        )
+        upstream = results.upstreams["quotes"][0]
+        ends = [
+            (time, kind.value)
+            for time, address, kind in results.attempts
+            if address == upstream.address
+        ]
+        stopped = {kind for time, kind in ends if 203.0 < time < 400.0}
+        self.assertNotIn("succeeded", stopped)
+        self.assertIn("connect-failed", stopped)
+        self.assertIn("connection-lost", {kind for _, kind in ends})
+        self.assertGreater(sum(t > 2_000.0 and k == "succeeded" for t, k in ends), 10)
+        self.assertEqual(upstream.factor, 1.0)
+        self.assertEqual(results.doubled, 0)
+
     def test_crashing_request_takes_at_most_three_upstreams(self):
         crash = CrashDocument(at_ms=50.0, pool="quotes", route="survey-booking")
         _, results = tiny_run(crash=crash, duration_ms=3_000.0, load=0.1)
