--- a/src/monsoonline/entry/relay.py
+++ b/src/monsoonline/entry/relay.py
@@ -311,7 +311,7 @@
             result = AttemptResult(
                 kind=failure_kind(error),
                 latency_ms=latency_ms,
-                reachable=self._survived(assignment.upstream, error),
+                reachable=self._survived(assignment, request, error),
             )
             return Attempt(
                 result=result, may_have_run=error.sent, own_cause=error.own_cause
@@ -328,7 +328,7 @@
         ran = kind is not AttemptKind.SHED
         return Attempt(result=result, may_have_run=ran, answer=answer)
 
-    def _survived(self, upstream, error):
+    def _survived(self, assignment, request, error):
         """Tell whether an upstream goes on after it broke off an exchange.
 
         A truncated answer is no crash, and the requests that it belonged to must not
@@ -336,7 +336,18 @@
         """
         if failure_kind(error) is not AttemptKind.CONNECTION_LOST:
             return False
-        return self._transport.is_reachable(upstream)
+        if self._transport.is_reachable(assignment.upstream):
+            return True
+        logger.warning(
+            "upstream accepts no connection after it lost one during a request",
+            extra={
+                "upstream": assignment.upstream.address,
+                "method": request.method,
+                "path": request.path,
+                "fingerprint": assignment.fingerprint,
+            },
+        )
+        return False
 
     def _hedged(self, route, request, assignment, deadline, history, fingerprint):
         """Run an attempt, and a duplicate of it when it takes long.
