Parse each load report once

Cause: an upstream with a few slots sends few different load headers, and each was split and converted again. Change: the parsed report is cached by the header's value, at most 1,024 values.

--- a/src/monsoonline/entry/outcomes.py
+++ b/src/monsoonline/entry/outcomes.py
@@ -1,6 +1,7 @@
 """What the attempts of a request say about whether it ran, and what to answer."""
 
 import dataclasses
+import functools
 import math
 import re
 
@@ -75,8 +76,15 @@
 def parse_load(answer):
     """Return the :class:`LoadReport` of an answer, or ``None``."""
     text = answer.header("Monsoonline-Load")
-    if text is None:
-        return None
+    return None if text is None else load_of(text)
+
+
+@functools.lru_cache(maxsize=1024)
+def load_of(text):
+    """Return the :class:`LoadReport` of a header value, or ``None``; cached.
+
+    An upstream with a few slots sends only a few different values.
+    """
     try:
         pairs = dict(part.strip().split("=", 1) for part in text.split(";"))
         return LoadReport(
