Connect again where a peer ends a connection before its greeting

Change: a connection that ends before the greeting is tried three times, 20 ms apart; a refused one is not tried again. No request has been sent by then.

--- a/src/monsoonline/adapters/peer_connections.py
+++ b/src/monsoonline/adapters/peer_connections.py
@@ -29,6 +29,8 @@
 # Room for the envelope and the packing of content that does not compress.
 FRAME_OVERHEAD_BYTES = 4096
 MAX_FRAME_BYTES = MAX_EXCHANGE_BYTES + MAX_EXCHANGE_BYTES // 8 + FRAME_OVERHEAD_BYTES
+RECONNECT_MS = 20.0
+CONNECT_ATTEMPTS = 3
 MAX_CONNECTIONS = 64
 MAX_QUEUED_REQUESTS = 64
 IDLE_MS = 30_000.0
@@ -299,8 +301,23 @@
         return reply
 
     def _connect(self, deadline):
-        host, _, port = self._address.rpartition(":")
+        """Connect, again where the peer ends the connection before its greeting.
+
+        A peer at its bound of connections does so until it has noticed that another
+        one ended; no request has been sent by then.
+        """
         limit = min(deadline, time.monotonic() + GREETING_TIMEOUT_MS / 1e3)
+        for _ in range(CONNECT_ATTEMPTS - 1):
+            try:
+                return self._connect_once(limit)
+            except ConnectionRefusedError:
+                raise
+            except ConnectionError:
+                time.sleep(RECONNECT_MS / 1e3)
+        return self._connect_once(limit)
+
+    def _connect_once(self, limit):
+        host, _, port = self._address.rpartition(":")
         remaining = max(0.001, limit - time.monotonic())
         connection = socket.create_connection((host, int(port)), timeout=remaining)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
