Count an answered connection as idle when a new one needs room

Cause: a caller has its answer as soon as the kernel has it, the connection's own thread notes that it is idle, or ends, only when it runs again. A caller that connected in between at the limit got 503.

Change: at the limit the accepting thread waits up to 100 ms, but only while an answer was given to the kernel within that time. Busy connections are refused at once as before. Ruled out: closing an answering connection at once, since its answer could still wait for a slow caller.

--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -36,6 +36,10 @@
 BACKLOG = 1024
 # Bound of the delay with which the accepting thread notices a stop.
 ACCEPT_POLL_MS = 100
+# Longest time a new connection waits for one whose answer has been written to become
+# idle. Only the connection's own thread has to run for that.
+ROOM_WAIT_MS = 100
+ROOM_POLL_MS = 0.5
 NO_BODY_STATUSES = frozenset((204, 304))
 FULL = (
     b"HTTP/1.1 503 Service Unavailable\r\nMonsoonline-Outcome: not-run\r\n"
@@ -145,6 +149,9 @@
     error_task_class = RefusalTask
     parser_class = CheckedRequestParser
     idle_since = None
+    # When the last part of an answer was given to the kernel; None while no answer
+    # is being written. The caller can act on the answer before this thread goes on.
+    answering_since = None
     _idle_timeout_ms = None
 
     def use_kernel_timeouts(self):
@@ -185,7 +192,13 @@
         finally:
             self.handle_close()
 
+    def write_soon(self, data):
+        """Send a part of an answer; called by waitress."""
+        self.answering_since = time.monotonic()
+        return super().write_soon(data)
+
     def _receive_request(self):
+        self.answering_since = None
         self.idle_since = None if self.request else time.monotonic()
         if self.request is None and self.server.draining:
             return False
@@ -312,7 +325,7 @@
                 self._hang_up(channel)
 
     def _start(self, connection, address):
-        if len(self.active_channels) >= self._limit and not self.close_longest_idle():
+        if not self._make_room():
             with connection:
                 connection.setblocking(False)
                 connection.send(FULL)
@@ -321,6 +334,25 @@
         channel = self.channel_class(self, connection, address, self.adj, map={})
         self._executor.submit(channel.serve)
 
+    def _make_room(self):
+        """Close an idle connection if the limit is reached.
+
+        Waits for connections that have just been answered, since a caller can connect
+        again before the thread of its former connection notes that it is idle.
+
+        :returns: whether another connection can be served
+        """
+        started = time.monotonic()
+        while len(self.active_channels) >= self._limit:
+            if self.close_longest_idle():
+                return True
+            limit = time.monotonic() - ROOM_WAIT_MS / 1e3
+            answering = (c.answering_since for c in list(self.active_channels.values()))
+            if started < limit or not any(at and at > limit for at in answering):
+                return False
+            time.sleep(ROOM_POLL_MS / 1e3)
+        return True
+
     def close_longest_idle(self):
         """Close the connection that waits longest for a request.
 
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -3,9 +3,15 @@
 import contextlib
 import socket
 import threading
+import time
 import unittest
+import unittest.mock
 
-from monsoonline.adapters.http_server import HttpServer, encode_answer
+from monsoonline.adapters.http_server import (
+    ConnectionChannel,
+    HttpServer,
+    encode_answer,
+)
 from monsoonline.core.model import CallerLimits
 from monsoonline.types import Answer
 
@@ -214,6 +220,39 @@
         self.assertIn(b"/2", second)
         self.assertEqual(self.read_all(idle), b"")
 
+    def hold_after_answers(self):
+        """Delay what a connection's thread does once the caller has its answer."""
+        serve = ConnectionChannel.service
+
+        def serve_slowly(channel):
+            serve(channel)
+            time.sleep(0.01)
+
+        self.enterContext(
+            unittest.mock.patch.object(ConnectionChannel, "service", serve_slowly)
+        )
+
+    def test_answered_connection_counts_as_idle_before_its_thread_notes_it(self):
+        """A caller that connects right after an answer must not be refused."""
+        self.hold_after_answers()
+        idle = self.connect()
+        idle.sendall(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+        idle.recv(1024)
+        second = self.send(b"GET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+        self.assertIn(b"/2", second)
+        self.assertEqual(self.read_all(idle), b"")
+
+    def test_ending_connection_makes_room_before_its_thread_has_ended(self):
+        """A caller must not be refused because its last connection still ends."""
+        self.hold_after_answers()
+        for path in (b"/1", b"/2"):
+            connection = self.connect()
+            connection.sendall(
+                b"GET %s HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" % path
+            )
+            # The answer's length ends it, before the connection does.
+            self.assertIn(path, connection.recv(1024))
+
     def test_busy_connections_refuse_another_as_not_run(self):
         """A full server must not leave a caller without a truthful answer."""
         entered, leave = threading.Event(), threading.Event()
