Serve a request that arrived just before its idle connection was hung up

A stop shuts down the reading side of idle connections. A request whose bytes had arrived and were not read yet is served all the same, but POLLRDHUP then holds for the socket, which the request path takes for the caller's hang-up. The same race existed for a connection that makes room for another.

Change: a connection is hung up under a lock and only while it is idle; a request that begins after a hang-up does not watch its caller's socket, and its answer closes the connection.

The new test holds the thread before it reads and failed before: the request counted as cancelled.

--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -112,7 +112,9 @@
         """Answer the request with one write; called by waitress."""
         channel = self.channel
         parsed = self.request
-        cancellation = Cancellation(caller=channel.socket)
+        # After a hang-up by this side the socket looks as if the caller had left.
+        caller = None if channel.hung_up else channel.socket
+        cancellation = Cancellation(caller=caller)
         answer = channel.server.application(
             request_of(parsed, cancellation=cancellation)
         )
@@ -123,6 +125,7 @@
             "close" in tokens
             or (old and "keep-alive" not in tokens)
             or channel.server.closing
+            or channel.hung_up
         )
         self.close_on_finish = close
         self.wrote_header = True
@@ -149,11 +152,36 @@
     error_task_class = RefusalTask
     parser_class = CheckedRequestParser
     idle_since = None
+    # Whether this side has ended the connection for reading. A request that had
+    # arrived before is still served.
+    hung_up = False
     # When the last part of an answer was given to the kernel; None while no answer
     # is being written. The caller can act on the answer before this thread goes on.
     answering_since = None
     _idle_timeout_ms = None
 
+    def __init__(self, *args, **fields):
+        super().__init__(*args, **fields)
+        # Held while the connection becomes idle, busy or is hung up, so that a request
+        # begins either before a hang-up, which then does not happen, or after it.
+        self._idle_lock = threading.Lock()
+
+    def hang_up_if_idle(self):
+        """End the connection if it waits for a request.
+
+        :returns: whether it did
+        """
+        with self._idle_lock:
+            if self.idle_since is None:
+                return False
+            self.idle_since = None
+            self.hung_up = True
+            try:
+                self.socket.shutdown(socket.SHUT_RD)
+            except OSError:
+                logger.debug("connection was closed before")
+        return True
+
     def use_kernel_timeouts(self):
         """Let receive and send block up to a limit without a poll before each.
 
@@ -199,14 +227,16 @@
 
     def _receive_request(self):
         self.answering_since = None
-        self.idle_since = None if self.request else time.monotonic()
+        with self._idle_lock:
+            self.idle_since = None if self.request else time.monotonic()
         if self.request is None and self.server.draining:
             return False
         self._follow_idle_timeout()
         try:
             # Blocks until bytes arrive or the kernel's receive timeout passes.
             self.handle_read()
-            self.idle_since = None
+            with self._idle_lock:
+                self.idle_since = None
             if not self.requests:
                 self._receive_rest()
         except BlockingIOError:
@@ -321,8 +351,7 @@
     def close_idle(self):
         """End the connections that wait for a request."""
         for channel in list(self.active_channels.values()):
-            if channel.idle_since:
-                self._hang_up(channel)
+            channel.hang_up_if_idle()
 
     def _start(self, connection, address):
         if not self._make_room():
@@ -358,14 +387,12 @@
 
         :returns: whether there was one
         """
-        idle = [c for c in list(self.active_channels.values()) if c.idle_since]
-        if not idle:
-            return False
-        victim = min(idle, key=lambda channel: channel.idle_since or float("inf"))
-        # The next connection over the limit must choose another one.
-        victim.idle_since = None
-        self._hang_up(victim)
-        return True
+        idle = [
+            (channel.idle_since, number, channel)
+            for number, channel in list(self.active_channels.items())
+        ]
+        idle = sorted(item for item in idle if item[0] is not None)
+        return any(channel.hang_up_if_idle() for _, _, channel in idle)
 
     def drain(self):
         """Accept no more, close idle connections, end others after their answer."""
@@ -381,13 +408,6 @@
         self._executor.shutdown(wait=False)
         self.close()
 
-    @staticmethod
-    def _hang_up(channel):
-        try:
-            channel.socket.shutdown(socket.SHUT_RD)
-        except OSError:
-            logger.debug("connection was closed before")
-
 
 class HttpServer:
     """One listening HTTP server.
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -206,6 +206,35 @@
         self.assertIn(b"Connection: close", received)
 
 
+class TestHangUp(ServerCase):
+    """Idle connections are closed without harm to a request on its way."""
+
+    def handle(self, request):
+        cancelled = request.cancellation is not None and request.cancellation.cancelled
+        return Answer(status=200, body=b"cancelled" if cancelled else b"served")
+
+    def test_request_that_had_arrived_is_not_taken_for_abandoned(self):
+        """A stopping entry gave up a request because it had closed its own side."""
+        arrived, hung_up = threading.Event(), threading.Event()
+        read = ConnectionChannel.handle_read
+
+        def read_late(channel):
+            arrived.wait(TIMEOUT_SECONDS)
+            self.server.close_idle()
+            hung_up.set()
+            read(channel)
+
+        with unittest.mock.patch.object(ConnectionChannel, "handle_read", read_late):
+            connection = self.connect()
+            connection.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            arrived.set()
+            self.assertTrue(hung_up.wait(TIMEOUT_SECONDS))
+            received = self.read_all(connection)
+        self.assertIn(b"served", received)
+        # The caller must not send its next request on this connection.
+        self.assertIn(b"Connection: close", received)
+
+
 class TestConnectionLimit(ServerCase):
     """The number of threads is bounded."""
 
