Go on with a search soon after the first answers

Change: after the first answers further ones are awaited 15 ms instead of 60. An upstream that accepted no connection in that time counts as late at this entry only. The first request of a route no longer counts as slow at its upstream: it was compared with the work that is assumed before a measurement.

Both new tests failed before.

--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -113,6 +113,7 @@
                 names=names,
                 parse_load=parse_load,
                 on_unreachable=self._pools.note_unreachable,
+                on_late=self._pools.note_late,
                 metrics=metrics,
             ),
             sessions=sessions,
--- a/src/monsoonline/entry/prober.py
+++ b/src/monsoonline/entry/prober.py
@@ -10,6 +10,10 @@
 
 # Longest wait for the first answers; a healthy upstream answers within a round trip.
 PROBE_MS = 60.0
+# Longest wait for further answers after the first: several round trips between failure
+# domains. Waiting longer for an upstream that is gone would use up the time in which
+# others can be asked.
+FURTHER_MS = 15.0
 HEALTHY_STATUS = 200
 
 logger = logging.getLogger(__name__)
@@ -85,15 +89,28 @@
     :param parse_load: turns the text of a load header into a
         :class:`monsoonline.types.LoadReport`, ``None`` where it is not valid
     :param on_unreachable: called with the state of an upstream that gave no answer
+    :param on_late: called with the state of an upstream that accepted no connection
+        for a short time while another one answered
     :param metrics: counters
     """
 
-    def __init__(self, *, clock, sessions, names, parse_load, on_unreachable, metrics):
+    def __init__(
+        self,
+        *,
+        clock,
+        sessions,
+        names,
+        parse_load,
+        on_unreachable,
+        on_late,
+        metrics,
+    ):
         self._clock = clock
         self._sessions = sessions
         self._names = names
         self._parse_load = parse_load
         self._on_unreachable = on_unreachable
+        self._on_late = on_late
         self._metrics = metrics
 
     def question(self, state, *, held=None):
@@ -108,8 +125,9 @@
     def ask(self, view, questions, probe, *, room, timeout_ms=PROBE_MS):
         """Ask some upstreams and return their offers.
 
-        Returns as soon as one offer is good. Questions that are still open then stay
-        so: their answers are skipped when the session is used again.
+        Returns as soon as one offer is good, or soon after the first. Questions that
+        are still open then stay so: their answers are skipped when the session is used
+        again.
 
         :param view: the :class:`monsoonline.core.upstream_view.UpstreamView`
         :param questions: the :class:`Question` items to ask
@@ -132,7 +150,10 @@
                 if offer is not None:
                     offers.append(offer)
                     good = good or is_good(offer.offer, room)
-        self._leave(asking.questions.values(), good)
+            if offers:
+                further = self._clock.now() + FURTHER_MS
+                asking.deadline = min(asking.deadline, further)
+        self._leave(asking.questions.values(), good=good, answered=bool(offers))
         return offers
 
     def _start(self, asking, question):
@@ -200,8 +221,13 @@
         )
         return ProbedOffer(offer=offer, session=question.session)
 
-    def _leave(self, questions, good):
-        """Give up the questions that are still open."""
+    def _leave(self, questions, *, good, answered):
+        """Give up the questions that are still open.
+
+        :param good: whether the answers were not awaited
+        :param answered: whether another upstream answered: the others then had so
+            little time that their silence says little of them
+        """
         for question in questions:
             if good:
                 self._sessions.check_in(question.session)
@@ -212,5 +238,7 @@
                 # the others to it may be silent too. A new one will tell.
                 self._sessions.close_idle(question.state.address)
                 self._metrics.count("upstream_sessions_lost_total")
-                continue
-            self._on_unreachable(question.state)
+            elif answered:
+                self._on_late(question.state)
+            else:
+                self._on_unreachable(question.state)
--- a/src/monsoonline/entry/served_pools.py
+++ b/src/monsoonline/entry/served_pools.py
@@ -14,6 +14,9 @@
 __all__ = ["ServedPool", "ServedPools"]
 
 LEAST_URGENT = 1 << 30
+# Weight of a late answer to a question, relative to the failures in ``upstream_view``:
+# the second one within the half-life of failures makes an entry avoid an upstream.
+LATE_WEIGHT = 0.8
 
 
 class ServedPool:
@@ -124,6 +127,13 @@
                 self.note_result(served, state, AttemptKind.CONNECT_FAILED)
                 return
 
+    def note_late(self, state):
+        """Record that an upstream gave no answer for a short time.
+
+        Other entries are not told: this one or its network may have been slow.
+        """
+        state.add_failure(LATE_WEIGHT, self._clock.now())
+
     def note_sent(self, state):
         """Count an attempt that begins at an upstream."""
         with self._lock:
@@ -154,7 +164,8 @@
         work = self.work_of(route)
         used_share = (offer.report.in_flight + 1) / offer.slots
         pace = offer.report.pace
-        if pace <= GOOD_PACE:
+        # The work that is assumed before the first measurement is far too short.
+        if work.measured and pace <= GOOD_PACE:
             served.crowding.observe(latency_ms / work.value, used_share=used_share)
         if used_share <= FULL_SHARE:
             work.observe(latency_ms, pace=pace)
--- a/tests/entry/target_fixture.py
+++ b/tests/entry/target_fixture.py
@@ -33,6 +33,8 @@
         self.instance = instance
         self.load = load
         self.ran = []
+        # Whether requests get an answer; connections are accepted all the same.
+        self.answers = True
         # Connections up to this number get no answer any more.
         self.silent_connections = 0
         self._replies = replies or (lambda number, request: {})
@@ -69,7 +71,7 @@
 
     def _serve(self, connection, number):
         request = self._upstream.last_request()
-        if connection <= self.silent_connections:
+        if connection <= self.silent_connections or not self.answers:
             return None
         if request.startswith(f"GET {HEALTH_PATH} ".encode()):
             return self._report(request)
--- a/tests/entry/test_placed_relay.py
+++ b/tests/entry/test_placed_relay.py
@@ -3,6 +3,7 @@
 import socket
 import time
 import unittest
+from unittest import mock
 
 from monsoonline.adapters.cancellation import Cancellation
 from monsoonline.adapters.upstream_sessions import SessionPool
@@ -18,12 +19,13 @@
     Tables,
     Tolerance,
 )
+from monsoonline.core.placement import Offer, Search
 from monsoonline.core.registrations import Registration
 from monsoonline.core.repeat_window import RepeatLimits
 from monsoonline.entry.placed_relay import PlacedRelay
 from monsoonline.errors import Refusal
 from monsoonline.metrics import Metrics
-from monsoonline.types import Outcome, Request
+from monsoonline.types import LoadReport, Outcome, Request
 from tests.adapters.scripted_upstream import Reply
 from tests.entry.target_fixture import (
     HEALTH_PATH,
@@ -287,6 +289,23 @@
         self.assertEqual(sum(len(t.ran) for t in targets), 2)
 
 
+class TestLearning(RelayTest):
+    """What an entry learns from its own requests."""
+
+    def test_first_request_says_nothing_of_an_upstreams_slots(self):
+        """It was compared with an assumed work that is far too short."""
+        relay = self.relay_to(Target("i1"))
+        served = relay._pools.get("p")
+        offer = Offer(
+            state=served.view.states["i1"], report=LoadReport(in_flight=0, slots=3)
+        )
+        relay._pools.learn_work(route(), served, offer, 200.0)
+        for _ in range(8):
+            served.crowding.observe(1.0, used_share=0.5)
+            served.crowding.observe(1.7, used_share=1.0)
+        self.assertAlmostEqual(served.crowding.full_factor, 1.7)
+
+
 class TestTurningAway(RelayTest):
     """What cannot be served is refused at once."""
 
@@ -308,6 +327,31 @@
         self.assertEqual(refusal.outcome, Outcome.NOT_RUN)
         self.assertEqual(self.failures, ["i1"])
 
+    def test_search_goes_on_when_one_of_the_asked_targets_does_not_answer(self):
+        """In a burst requests were refused because one target of two was gone."""
+        silent, slow, free = (
+            Target("i1"),
+            Target("i2", load="3,9,3,7.0"),
+            Target("i3"),
+        )
+        silent.answers = False
+        relay = self.relay_to(silent, slow, free)
+        relay._pools.work_of(route()).observe(200.0, pace=1.0)
+        asked = [[silent, slow], [free]]
+        states = relay._pools.get("p").view.states
+        with mock.patch.object(
+            Search,
+            "next_states",
+            lambda search, best: (
+                [states[t.instance] for t in asked.pop(0)] if asked else []
+            ),
+        ):
+            self.assertEqual(relay.handle(self.request()).status, 200)
+        self.assertEqual(len(free.ran), 1)
+        # Told to others, late answers of a disturbed network made all avoid upstreams.
+        self.assertEqual(self.failures, [])
+        self.assertGreater(states["i1"].failures(SystemClock().now()), 0.5)
+
     def test_silent_connections_are_no_failure_of_their_target(self):
         """All upstreams were avoided after their kept connections went silent."""
         target = Target("i1")
