Play load patterns over the request path of entries in virtual time

The decisions on a request and the poller are now given to the request path, so that the entry's own code runs in virtual time: a thread for each request, one of them at a time, with virtual sessions and upstreams. Policies exchange one decision. A model of its own for the request path was ruled out, since it would be a second copy of the code that is to be judged.

--- a/src/monsoonline/bench/plots.py
+++ b/src/monsoonline/bench/plots.py
@@ -6,7 +6,7 @@
 
 from matplotlib import pyplot  # noqa: E402
 
-__all__ = ["plot_probe_curve", "plot_tails"]
+__all__ = ["plot_probe_curve", "plot_tails", "plot_worth"]
 
 
 def plot_tails(tails, path, *, title):
@@ -48,3 +48,27 @@
     figure.tight_layout()
     figure.savefig(path)
     pyplot.close(figure)
+
+
+def plot_worth(comparison, path, *, title):
+    """Write the worth of requests over time, one line for each policy.
+
+    :param comparison: result of :func:`monsoonline.bench.load_report.compare_policies`
+    :param path: file to write, ``.svg`` or ``.png``
+    """
+    figure, axes = pyplot.subplots(figsize=(8, 4.5))
+    for name, summaries in comparison["policies"].items():
+        times = sorted({time for s in summaries for time in s["windows"]})
+        means = []
+        for time in times:
+            values = [s["windows"][time] for s in summaries if time in s["windows"]]
+            means.append(sum(values) / len(values))
+        axes.plot([time / 1e3 for time in times], means, label=name)
+    axes.set_xlabel("first try, s after the start")
+    axes.set_ylabel("worth got, share; mean of the seeds")
+    axes.set_ylim(0.0, 1.02)
+    axes.set_title(title)
+    axes.legend(fontsize="small")
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
--- a/src/monsoonline/commands/bench.py
+++ b/src/monsoonline/commands/bench.py
@@ -14,6 +14,7 @@
 # Name of a subcommand and the module that defines it as ``command``.
 SUBCOMMANDS = {
     "run": "monsoonline.commands.bench_run",
+    "load": "monsoonline.commands.bench_load",
     "relay": "monsoonline.commands.bench_relay",
     "control": "monsoonline.commands.bench_control",
     "capacity": "monsoonline.commands.bench_capacity",
--- a/src/monsoonline/entry/attempts.py
+++ b/src/monsoonline/entry/attempts.py
@@ -4,7 +4,6 @@
 
 from monsoonline.adapters.upstream_sessions import SessionFailed
 from monsoonline.core.decision_events import AttemptEnded, UpstreamChosen
-from monsoonline.core.hedging import HedgeTimer
 from monsoonline.core.placement import expected_ms
 from monsoonline.entry.placer import ANY_ROOM
 from monsoonline.entry.request_task import Leg
@@ -25,9 +24,13 @@
     :param sessions: :class:`monsoonline.adapters.upstream_sessions.SessionPool`
     :param pools: :class:`monsoonline.entry.served_pools.ServedPools`
     :param crashes: :class:`monsoonline.core.crashes.CrashTracker`
+    :param decisions: :class:`monsoonline.core.request_decisions.RequestDecisions`
     """
 
-    def __init__(self, *, clock, names, parse_load, sessions, pools, crashes):
+    def __init__(
+        self, *, clock, names, parse_load, sessions, pools, crashes, decisions
+    ):
+        self._hedge_timer_class = decisions.hedge_timer
         self._clock = clock
         self._names = names
         self._parse_load = parse_load
@@ -147,7 +150,7 @@
         """Return the timer of a second attempt, ``None`` where none is allowed."""
         if not task.route.idempotent or task.sends_left < 1:
             return None
-        return HedgeTimer(
+        return self._hedge_timer_class(
             goal_at=task.started + task.route.success.latency_ms,
             sent_at=leg.sent_at,
             expected_ms=leg.expected_ms,
--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -18,6 +18,7 @@
     RequestRefused,
     RouteMatched,
 )
+from monsoonline.core.request_decisions import RequestDecisions
 from monsoonline.core.splitting import ShareChooser
 from monsoonline.decision_log import DecisionLog
 from monsoonline.entry.attempts import Attempts
@@ -64,6 +65,9 @@
     :param on_loads: called with the load reports of each search and the upstream that
         was chosen
     :param metrics: counters
+    :param decisions: :class:`monsoonline.core.request_decisions.RequestDecisions`,
+        those in use when omitted
+    :param poller: returns an object like :func:`select.poll`, for waiting on sessions
     """
 
     def __init__(
@@ -81,14 +85,18 @@
         on_failure,
         on_loads,
         metrics,
+        decisions=None,
+        poller=select.poll,
     ):
+        decisions = decisions or RequestDecisions()
+        self._poller = poller
         self._clock = clock
         self._names = names
         self._sessions = sessions
         self._entries = entries
         self._crashes = crashes
         self._metrics = metrics
-        self._shares = ShareChooser()
+        self._shares = ShareChooser(generator=decisions.generator)
         self._decision_log = DecisionLog(clock=clock, metrics=metrics)
         self._pools = ServedPools(
             clock=clock,
@@ -96,6 +104,7 @@
             budget=budget,
             failure_domain=failure_domain,
             on_failure=on_failure,
+            decisions=decisions,
         )
         self._attempts = Attempts(
             clock=clock,
@@ -104,6 +113,7 @@
             sessions=sessions,
             pools=self._pools,
             crashes=crashes,
+            decisions=decisions,
         )
         self._placer = Placer(
             clock=clock,
@@ -115,12 +125,14 @@
                 on_unreachable=self._pools.note_unreachable,
                 on_late=self._pools.note_late,
                 metrics=metrics,
+                poller=poller,
             ),
             sessions=sessions,
             pools=self._pools,
             probes_per_second=probes_per_second,
             entries=entries,
             on_loads=on_loads,
+            decisions=decisions,
         )
 
     def use_tables(self, tables):
@@ -266,7 +278,7 @@
         until = task.deadline
         if task.hedge is not None:
             until = min(until, task.hedge.check_at)
-        poller = select.poll()
+        poller = self._poller()
         by_descriptor = {}
         for leg in task.legs:
             if leg.session.reusable or leg.session.connected:
--- a/src/monsoonline/entry/placer.py
+++ b/src/monsoonline/entry/placer.py
@@ -3,14 +3,12 @@
 from monsoonline.core.placement import (
     Offer,
     Room,
-    Search,
     choose_offer,
     expected_ms,
     has_room,
     is_good,
 )
 from monsoonline.core.probe_allowance import ProbeAllowance
-from monsoonline.core.turning_away import TurningAway
 from monsoonline.errors import Refusal
 from monsoonline.types import Outcome
 
@@ -33,10 +31,20 @@
     :param entries: returns the number of entries that share the budgets
     :param on_loads: called with the load reports of each search and the upstream that
         was chosen
+    :param decisions: :class:`monsoonline.core.request_decisions.RequestDecisions`
     """
 
     def __init__(
-        self, *, clock, prober, sessions, pools, probes_per_second, entries, on_loads
+        self,
+        *,
+        clock,
+        prober,
+        sessions,
+        pools,
+        probes_per_second,
+        entries,
+        on_loads,
+        decisions,
     ):
         self._clock = clock
         self._prober = prober
@@ -45,7 +53,8 @@
         self._probes_per_second = probes_per_second
         self._entries = entries
         self._on_loads = on_loads
-        self._turning_away = TurningAway()
+        self._search = decisions.search
+        self._turning_away = decisions.turning_away(generator=decisions.generator)
 
     def use_probe_rate(self, probes_per_second):
         """Use a changed rate of probes that one upstream may get from all entries."""
@@ -66,7 +75,7 @@
             urgent=task.route.priority <= task.pool.most_urgent
         )
         near, far = view.candidates(self._clock.now(), excluded=task.excluded)
-        search = Search(near=near, far=far, room=room)
+        search = self._search(near=near, far=far, room=room)
         search_end = task.started + self._turning_away.search_ms(task.route)
         best = held = None
         while states := self._allowed(task, search.next_states(best), best):
--- a/src/monsoonline/entry/prober.py
+++ b/src/monsoonline/entry/prober.py
@@ -54,13 +54,14 @@
 
     :param probe: the :class:`monsoonline.adapters.upstream_sessions.Probe`
     :param deadline: instant in ms until which answers are awaited
+    :param poller: an object like :func:`select.poll` returns
     """
 
-    def __init__(self, *, probe, deadline):
+    def __init__(self, *, probe, deadline, poller):
         self.probe = probe
         self.deadline = deadline
         self.questions = {}
-        self._poller = select.poll()
+        self._poller = poller
 
     def add(self, question, events):
         """Wait for a question's socket."""
@@ -92,6 +93,7 @@
     :param on_late: called with the state of an upstream that accepted no connection
         for a short time while another one answered
     :param metrics: counters
+    :param poller: returns an object like :func:`select.poll`
     """
 
     def __init__(
@@ -104,7 +106,9 @@
         on_unreachable,
         on_late,
         metrics,
+        poller=select.poll,
     ):
+        self._poller = poller
         self._clock = clock
         self._sessions = sessions
         self._names = names
@@ -136,7 +140,9 @@
         :param timeout_ms: longest wait
         :returns: list of :class:`ProbedOffer`
         """
-        asking = Round(probe=probe, deadline=self._clock.now() + timeout_ms)
+        asking = Round(
+            probe=probe, deadline=self._clock.now() + timeout_ms, poller=self._poller()
+        )
         for question in questions:
             self._start(asking, question)
         offers = []
--- a/src/monsoonline/entry/served_pools.py
+++ b/src/monsoonline/entry/served_pools.py
@@ -3,7 +3,7 @@
 import threading
 
 from monsoonline.adapters.upstream_sessions import Probe
-from monsoonline.core.crowding import FULL_SHARE, Crowding
+from monsoonline.core.crowding import FULL_SHARE
 from monsoonline.core.placement import GOOD_PACE, WorkEstimate
 from monsoonline.core.probe_allowance import ProbeAllowance
 from monsoonline.core.repeat_window import RepeatWindow
@@ -27,15 +27,16 @@
     :param repeats: its :class:`RepeatWindow`
     :param probe: the question for its upstreams
     :param allowance: its :class:`ProbeAllowance`
+    :param crowding: its :class:`monsoonline.core.crowding.Crowding`
     """
 
-    def __init__(self, *, pool, view, repeats, probe, allowance):
+    def __init__(self, *, pool, view, repeats, probe, allowance, crowding):
         self.pool = pool
         self.view = view
         self.repeats = repeats
         self.probe = probe
         self.allowance = allowance
-        self.crowding = Crowding()
+        self.crowding = crowding
         # Priority of the pool's most urgent route.
         self.most_urgent = LEAST_URGENT
 
@@ -48,9 +49,11 @@
     :param budget: :class:`monsoonline.core.repeat_window.RepeatLimits`
     :param failure_domain: where this entry runs
     :param on_failure: called with instance and weight of each failure seen
+    :param decisions: :class:`monsoonline.core.request_decisions.RequestDecisions`
     """
 
-    def __init__(self, *, clock, names, budget, failure_domain, on_failure):
+    def __init__(self, *, clock, names, budget, failure_domain, on_failure, decisions):
+        self._decisions = decisions
         self._clock = clock
         self._names = names
         self._budget = budget
@@ -180,10 +183,13 @@
             return known
         return ServedPool(
             pool=pool,
-            view=UpstreamView(failure_domain=self._failure_domain),
+            view=UpstreamView(
+                failure_domain=self._failure_domain, generator=self._decisions.generator
+            ),
             repeats=RepeatWindow(limits=self._budget),
             probe=probe,
             allowance=ProbeAllowance(now=self._clock.now()),
+            crowding=self._decisions.crowding(),
         )
 
     def _note_priority(self, route):
