Split the fleet of a load experiment from its callers and patterns

A request in flight when its caller leaves counts as failed also where the caller was refused before (its test fails with the former rule).

--- a/src/monsoonline/bench/load_experiment.py
+++ b/src/monsoonline/bench/load_experiment.py
@@ -15,25 +15,12 @@
     arrival_times,
     end_of,
 )
+from monsoonline.bench.load_fleet import LoadFleet
 from monsoonline.bench.load_policies import PRESENT, policies
-from monsoonline.bench.load_upstreams import SharedUpstream
 from monsoonline.bench.timeline import Timeline
-from monsoonline.bench.virtual_sessions import (
-    NAMES,
-    VirtualNetwork,
-    VirtualSessionPool,
-    parse_load,
-)
-from monsoonline.bench.virtual_tasks import VirtualPoller, VirtualTasks
-from monsoonline.core import model
-from monsoonline.core.crashes import CrashTracker
-from monsoonline.core.fleet_audience import NEAR_RECEIVERS
-from monsoonline.core.fleet_messages import LoadNotice
-from monsoonline.core.registrations import Registration
-from monsoonline.core.repeat_window import RepeatLimits
-from monsoonline.entry.placed_relay import PlacedRelay
+from monsoonline.bench.virtual_sessions import NAMES
+from monsoonline.bench.virtual_tasks import VirtualTasks
 from monsoonline.errors import Refusal
-from monsoonline.metrics import Metrics
 from monsoonline.types import Outcome, Request
 
 __all__ = ["LoadExperiment", "LoadResults"]
@@ -63,25 +50,6 @@
     doubled: int
 
 
-class LoadEntry:
-    """One entry.
-
-    :param name: its name
-    :param failure_domain: where it runs
-    """
-
-    def __init__(self, *, name, failure_domain):
-        self.name = name
-        self.failure_domain = failure_domain
-        self.relay = None
-        self.metrics = []
-        # Changes when callers lose the entry, so that later answers reach none.
-        self.incarnation = 0
-        # Whether the entry runs, and whether callers reach it.
-        self.up = True
-        self.reachable = True
-
-
 class LoadExperiment:
     """Runs one :class:`monsoonline.bench.load_document.LoadDocument`.
 
@@ -92,26 +60,21 @@
 
     def __init__(self, *, document, policy=PRESENT, seed=None):
         self._document = document
-        self._policy = policies.get(policy)
         # Callers and neighbours of one seed are the same for every policy.
         seed = document.seed if seed is None else seed
         self._traffic = random.Random(f"traffic-{seed}")
         self._machines = random.Random(f"machines-{seed}")
-        self._choices = random.Random(f"choices-{seed}")
         self._timeline = Timeline()
         self._tasks = VirtualTasks(limit=MAX_TASKS)
-        self._sockets = {}
         self._numbers = itertools.count(1)
-        self._tables = build_tables(document)
-        self._upstreams = self._build_upstreams()
-        self._by_address = {
-            u.address: u for pool in self._upstreams.values() for u in pool
-        }
-        domains = document.failure_domains
-        self._entries = [
-            LoadEntry(name=f"entry-{n}", failure_domain=domains[n % len(domains)])
-            for n in range(document.entries)
-        ]
+        self._fleet = LoadFleet(
+            document=document,
+            seed=seed,
+            policy=policies.get(policy),
+            timeline=self._timeline,
+            tasks=self._tasks,
+        )
+        # Requests that have not ended, by number.
         self._open = {}
         self._results = []
 
@@ -119,8 +82,6 @@
         """Run to the end and return the :class:`LoadResults`."""
         document = self._document
         try:
-            for entry in self._entries:
-                self._start_entry(entry)
             for pool in document.pools:
                 self._schedule_neighbours(pool)
             for pattern in document.patterns:
@@ -137,122 +98,30 @@
         return self._summary()
 
     def _summary(self):
-        upstreams = self._by_address.values()
+        upstreams = [u for pool in self._fleet.upstreams.values() for u in pool]
         runs = {}
         for upstream in upstreams:
             for number, count in upstream.runs.items():
                 runs[number] = runs.get(number, 0) + count
-        metrics = [m for entry in self._entries for m in entry.metrics]
         return LoadResults(
             requests=tuple(result for _, result in self._results),
             probes=sum(len(u.probes) for u in upstreams),
             attempts=sum(len(u.arrivals) for u in upstreams),
-            second_attempts=sum(
-                m.value("hedges_total", route=route.name)
-                for m in metrics
-                for route in self._document.routes
-            ),
+            second_attempts=self._fleet.second_attempts,
             doubled=sum(
-                runs.get(request.number, 0) > request.tries
+                # A caller only returns where it was told that nothing had run.
+                runs.get(request.number, 0) > 1
                 for request, _ in self._results
                 if not request.route.idempotent
             ),
         )
 
-    # Entries and upstreams
-
-    def _build_upstreams(self):
-        domains = self._document.failure_domains
-        return {
-            pool.name: [
-                SharedUpstream(
-                    timeline=self._timeline,
-                    address=f"10.{index}.{n // 250}.{n % 250 + 1}:8000",
-                    failure_domain=domains[n % len(domains)],
-                    slots=pool.slots,
-                    queue_limit=pool.queue_limit,
-                    restart_ms=1_000.0,
-                    full_share=pool.full_share,
-                    full_factor=pool.full_factor,
-                    generator=self._machines,
-                )
-                for n in range(pool.targets)
-            ]
-            for index, pool in enumerate(self._document.pools)
-        }
-
-    def _start_entry(self, entry):
-        """Start an entry that knows the tables and upstreams, but no load."""
-        document = self._document
-        metrics = Metrics()
-        entry.metrics.append(metrics)
-        network = VirtualNetwork(
-            timeline=self._timeline,
-            sockets=self._sockets,
-            upstreams=self._by_address,
-            delay_ms=lambda upstream: self._delay_ms(entry, upstream),
-        )
-        entry.relay = PlacedRelay(
-            clock=self._timeline,
-            names=NAMES,
-            parse_load=parse_load,
-            sessions=VirtualSessionPool(network=network, clock=self._timeline),
-            budget=RepeatLimits(**document.repeats.model_dump()),
-            probes_per_second=max(pool.probes_per_second for pool in document.pools),
-            failure_domain=entry.failure_domain,
-            entries=lambda: sum(e.up for e in self._entries),
-            crashes=CrashTracker(clock=self._timeline, owner=entry.name),
-            on_failure=lambda *failure: self._tell_failure(entry, *failure),
-            on_loads=lambda loads, chosen: self._tell_loads(entry, loads, chosen),
-            metrics=metrics,
-            decisions=self._policy(random.Random(self._choices.random())),
-            poller=lambda: VirtualPoller(
-                tasks=self._tasks, timeline=self._timeline, sockets=self._sockets
-            ),
-        )
-        entry.relay.use_tables(self._tables)
-        entry.relay.use_registrations(
-            {
-                upstream.address: Registration(
-                    instance=upstream.address,
-                    pool=pool,
-                    address=upstream.address,
-                    failure_domain=upstream.failure_domain,
-                    slots=upstream.slots,
-                )
-                for pool, upstreams in self._upstreams.items()
-                for upstream in upstreams
-            }
-        )
-
-    def _delay_ms(self, one, other):
-        near = one.failure_domain == other.failure_domain
-        return self._document.near_ms if near else self._document.far_ms
-
-    def _others(self, entry):
-        return [e for e in self._entries if e is not entry and e.up]
-
-    def _tell_failure(self, entry, instance, weight):
-        for other in self._others(entry):
-            delay_ms = self._delay_ms(entry, other)
-            relay = other.relay
-            self._timeline.after(delay_ms, relay.hear_failure, instance, weight)
-
-    def _tell_loads(self, entry, loads, chosen):
-        notice = LoadNotice(sender=entry.name, loads=loads, chosen=chosen)
-        near = [
-            other
-            for other in self._others(entry)
-            if other.failure_domain == entry.failure_domain
-        ]
-        for other in self._choices.sample(near, min(NEAR_RECEIVERS, len(near))):
-            delay_ms = self._delay_ms(entry, other)
-            self._timeline.after(delay_ms, other.relay.hear_loads, notice)
+    # Patterns
 
     def _schedule_neighbours(self, pool):
         if not pool.neighbours.share:
             return
-        for upstream in self._upstreams[pool.name]:
+        for upstream in self._fleet.upstreams[pool.name]:
             self._change_pace(pool.neighbours, upstream)
 
     def _change_pace(self, neighbours, upstream):
@@ -273,36 +142,39 @@
         if self._timeline.now() + length_ms < end:
             self._timeline.after(length_ms, self._take_turn, neighbours, upstream, end)
 
-    # Patterns
-
     def _begin(self, pattern):
         if pattern.kind in ("entries-lost", "entries-cut"):
-            for entry in first_part(self._entries, pattern.share):
+            for entry in first_part(self._fleet.entries, pattern.share):
                 entry.up = pattern.kind == "entries-cut"
                 self._cut_entry(entry)
         elif pattern.kind == "shedding":
-            for upstream in self._upstreams[pattern.pool]:
+            for upstream in self._fleet.upstreams[pattern.pool]:
                 upstream.shed_share = pattern.share
         elif pattern.kind == "upstreams-lost":
-            for upstream in first_part(self._upstreams[pattern.pool], pattern.share):
+            for upstream in first_part(
+                self._fleet.upstreams[pattern.pool], pattern.share
+            ):
                 upstream.stop()
         elif pattern.kind == "upstreams-silent":
-            for upstream in first_part(self._upstreams[pattern.pool], pattern.share):
+            for upstream in first_part(
+                self._fleet.upstreams[pattern.pool], pattern.share
+            ):
                 upstream.silence()
 
     def _finish(self, pattern):
         if pattern.kind == "entries-lost":
-            for entry in first_part(self._entries, pattern.share):
-                self._start_entry(entry)
-                entry.up = entry.reachable = True
+            for entry in first_part(self._fleet.entries, pattern.share):
+                self._fleet.start(entry)
         elif pattern.kind == "entries-cut":
-            for entry in first_part(self._entries, pattern.share):
+            for entry in first_part(self._fleet.entries, pattern.share):
                 entry.reachable = True
         elif pattern.kind == "shedding":
-            for upstream in self._upstreams[pattern.pool]:
+            for upstream in self._fleet.upstreams[pattern.pool]:
                 upstream.shed_share = 0.0
         elif pattern.kind in ("upstreams-lost", "upstreams-silent"):
-            for upstream in first_part(self._upstreams[pattern.pool], pattern.share):
+            for upstream in first_part(
+                self._fleet.upstreams[pattern.pool], pattern.share
+            ):
                 upstream.resume()
 
     def _cut_entry(self, entry):
@@ -359,15 +231,14 @@
 
     def _give_up(self, request):
         if request.number in self._open:
-            unreached = request.entry is None and not request.refusals
-            end = RequestEnd.REFUSED if request.refusals else RequestEnd.FAILED
-            self._end(request, RequestEnd.UNREACHED if unreached else end)
+            end = RequestEnd.REFUSED if request.refusals else RequestEnd.UNREACHED
+            self._end(request, end if request.entry is None else RequestEnd.FAILED)
 
     def _try(self, request):
         """Send a request to an entry, or look again later when there is none."""
         if request.number not in self._open:
             return
-        reachable = [entry for entry in self._entries if entry.reachable]
+        reachable = [entry for entry in self._fleet.entries if entry.reachable]
         if not reachable:
             self._timeline.after(
                 self._document.callers.reconnect_ms, self._try, request
@@ -457,26 +328,3 @@
 def first_part(items, share):
     """Return the first items, as many as the share of all of them."""
     return items[: round(share * len(items))]
-
-
-def build_tables(document):
-    """Return the :class:`monsoonline.core.model.Tables` of an experiment."""
-    pools = {
-        pool.name: model.Pool(name=pool.name, department="bench", upstreams=())
-        for pool in document.pools
-    }
-    routes = {
-        route.name: model.Route(
-            name=route.name,
-            department="bench",
-            pool=route.pool,
-            match=model.RouteMatch(path_prefix=f"/{route.name}/"),
-            idempotent=route.idempotent,
-            deadline_ms=route.deadline_ms,
-            tolerance=model.Tolerance(retries=route.retries),
-            success=model.SuccessDefinition(latency_ms=route.goal_ms),
-            priority=route.priority,
-        )
-        for route in document.routes
-    }
-    return model.Tables(revision=1, routes=routes, pools=pools)
--- a/tests/bench/test_load_experiment.py
+++ b/tests/bench/test_load_experiment.py
@@ -5,7 +5,7 @@
 
 from monsoonline.bench.load_callers import RequestEnd
 from monsoonline.bench.load_policies import policies
-from tests.bench.load_fixture import run_tiny
+from tests.bench.load_fixture import FIELDS, run_tiny
 
 
 def pattern(kind, *, at_ms=300.0, duration_ms=400.0, **fields):
@@ -65,6 +65,16 @@
         self.assertGreater(len(at_loss), 0)
         self.assertEqual({r.end for r in at_loss}, {RequestEnd.FAILED})
 
+    def test_request_in_flight_when_its_caller_leaves_has_failed(self):
+        """It was counted as refused where its caller had been refused before."""
+        fields = FIELDS["routes"][1] | {"deadline_ms": 150.0, "requests_per_second": 90}
+        results = run_tiny(
+            routes=[fields], patterns=[pattern("burst", factor=4.0)], duration_ms=800.0
+        )
+        left = [r for r in results.requests if r.took_ms >= 149.9]
+        self.assertTrue(any(r.refusals for r in left))
+        self.assertIn(RequestEnd.FAILED, {r.end for r in left if r.refusals})
+
     def test_cut_entries_get_no_requests(self):
         results = run_tiny(patterns=[pattern("entries-cut", share=0.5)])
         self.assertGreater(ends_of(results)[RequestEnd.IN_TIME], 40)
