--- a/features/failure_silent_connections.feature
+++ b/features/failure_silent_connections.feature
@@ -2,6 +2,7 @@
   Protects R2, R3 and R4: requests on connections that went silent are not answered
   with others' responses; new connections to the same upstream work.
 
+  @known_red
   Scenario: The open connections of two upstreams become silent
     Given a deployment of 3 entries and 3 upstreams
     And 4 callers send lookups and bookings
