--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -216,6 +216,7 @@
             # The caller reset the connection; there is nobody left to tell.
             return
         except Exception:
+            # Nothing waits for the task's result, so the error would go unseen.
             logger.exception("connection ended by an unexpected error")
         finally:
             self.handle_close()
--- a/src/monsoonline/adapters/peer_connections.py
+++ b/src/monsoonline/adapters/peer_connections.py
@@ -8,6 +8,7 @@
 
 import concurrent.futures
 import contextlib
+import logging
 import queue
 import random
 import secrets
@@ -41,6 +42,8 @@
 BACKOFF_MAX_MS = 2000.0
 GREETING_CONTEXT = b"greeting"
 
+logger = logging.getLogger(__name__)
+
 
 def read_exactly(connection, size, *, deadline):
     """Read ``size`` bytes until ``deadline``, an instant of ``time.monotonic``.
@@ -533,6 +536,10 @@
         except MonsoonlineError as error:
             return self._failure(request, error.code)
         except Exception:
+            # A fault in one handler must not end the session with all its exchanges.
+            logger.exception(
+                "handler of a peer's request failed", extra={"exchange": request.name}
+            )
             self._metrics.count("peer_handler_failures_total", kind=request.name)
             return self._failure(request, "handler-failed")
         if len(payload) > MAX_EXCHANGE_BYTES:
--- a/src/monsoonline/bench/load_experiment.py
+++ b/src/monsoonline/bench/load_experiment.py
@@ -25,6 +25,7 @@
 
 __all__ = ["LoadExperiment", "LoadResults"]
 
+# Requests at entries at once; each takes a thread.
 MAX_TASKS = 4_000
 # Shortest time that is left for a try to be worth sending.
 LEAST_LEFT_MS = 1.0
--- a/src/monsoonline/bench/load_policies.py
+++ b/src/monsoonline/bench/load_policies.py
@@ -13,6 +13,7 @@
 __all__ = ["PRESENT", "policies"]
 
 PRESENT = "present"
+# The shortest time that a Retry-After header in whole seconds can state.
 FIXED_RETURN_MS = 1_000.0
 
 # Functions that return :class:`RequestDecisions` for a random generator.
--- a/src/monsoonline/commands/bench_load.py
+++ b/src/monsoonline/commands/bench_load.py
@@ -11,6 +11,27 @@
 __all__ = ["command"]
 
 
+def read_experiment(name):
+    """Return the experiment of a name or file, or exit with what is wrong.
+
+    :raises click.BadParameter: when there is no such experiment
+    """
+    from monsoonline.bench.load_document import load_experiment, shipped_experiments
+
+    try:
+        return load_experiment(name)
+    except FindingsError as error:
+        for finding in error.findings:
+            click.echo(str(finding), err=True)
+        sys.exit(2)
+    except OSError as error:
+        shipped = ", ".join(shipped_experiments())
+        raise click.BadParameter(
+            f"{name!r} cannot be read ({error.strerror}); shipped: {shipped}",
+            param_hint="EXPERIMENT",
+        ) from error
+
+
 @click.command("load")
 @click.argument("experiment", required=False)
 @click.option("--list", "list_names", is_flag=True, help="Print the names and exit.")
@@ -39,7 +60,7 @@
 
     The code of an entry decides; upstreams, callers and time are virtual.
     """
-    from monsoonline.bench.load_document import load_experiment, shipped_experiments
+    from monsoonline.bench.load_document import shipped_experiments
     from monsoonline.bench.load_policies import policies
 
     if list_names:
@@ -54,18 +75,7 @@
             f"{unknown[0]!r} is not one of {', '.join(policies.names)}",
             param_hint="--policy",
         )
-    try:
-        document = load_experiment(experiment)
-    except FindingsError as error:
-        for finding in error.findings:
-            click.echo(str(finding), err=True)
-        sys.exit(2)
-    except OSError as error:
-        shipped = ", ".join(shipped_experiments())
-        raise click.BadParameter(
-            f"{experiment!r} cannot be read ({error.strerror}); shipped: {shipped}",
-            param_hint="EXPERIMENT",
-        ) from error
+    document = read_experiment(experiment)
     from monsoonline.bench.load_report import compare_policies, format_comparison
 
     comparison = compare_policies(
--- a/tests/adapters/test_peer_network.py
+++ b/tests/adapters/test_peer_network.py
@@ -15,6 +15,7 @@
 from monsoonline.ports import Member, PeerNetwork, VirtualMachine
 
 KEYS = {1: b"first-secret-1234"}
+PEER_LOGGER = "monsoonline.adapters.peer_connections"
 
 
 class TestSocketPeerNetwork(unittest.TestCase):
@@ -122,6 +123,21 @@
         with self.assertRaises(ValueError):
             first.request(target, "echo", b"x" * (1024 * 1024 + 1), timeout_ms=1000)
 
+    def test_fault_in_a_handler_is_logged(self):
+        """The asking entry learns a code only, so the cause would be lost."""
+        first, second = self.start(1), self.start(2)
+
+        def fail(name, payload):
+            raise RuntimeError("fault in a handler")
+
+        second.serve("fail", fail)
+        with (
+            self.assertLogs(PEER_LOGGER, "ERROR") as logs,
+            self.assertRaises(PeerUnavailable),
+        ):
+            first.request(self.member(second), "fail", b"", timeout_ms=3000)
+        self.assertIn("RuntimeError: fault in a handler", logs.output[0])
+
     def test_silent_peer_is_unavailable_in_time(self):
         """A connection that became silent must not hold up the caller."""
         first = self.start(1)
