Read the request limits of upstreams, log and count them

Entries now keep the limit of each upstream, ordered by cause and effect, log its changes ('upstream limit', at most one line a second and upstream), and count attempts at limited upstreams by first, repeat and hedge, and probes of them. The decision 'upstream chosen' states the limit.

The header concerns the hop, so callers do not get it. No decision uses it yet.

--- a/src/monsoonline/core/decision_events.py
+++ b/src/monsoonline/core/decision_events.py
@@ -43,6 +43,8 @@
     :param second: whether it is a hedge, sent while an earlier attempt is open
     :param running: requests at the upstream, according to its load report
     :param slots: requests that the upstream processes concurrently
+    :param limit: requests per second that it accepts from all entries, ``None`` without
+        a limit
     :param pace: estimated slowdown of the upstream, 1.0 for the usual speed
     :param report_age_ms: age of the newest load report, ``None`` if there is none
     :param expected_ms: expected response time
@@ -55,6 +57,7 @@
     second: bool
     running: int
     slots: int
+    limit: float | None
     pace: float
     report_age_ms: float | None
     expected_ms: float
--- a/src/monsoonline/core/header_names.py
+++ b/src/monsoonline/core/header_names.py
@@ -16,6 +16,7 @@
     :param signature: present in every response from a request that the upstream ran
     :param load: the upstream's load report
     :param instance: id of the responding upstream
+    :param limit: requests per second that the upstream accepts from all entries
     """
 
     request_id: str = "Monsoonline-Request-Id"
@@ -25,3 +26,4 @@
     signature: str = "Monsoonline-Signature"
     load: str = "Monsoonline-Load"
     instance: str = "Monsoonline-Instance"
+    limit: str = "Monsoonline-Limit"
--- a/src/monsoonline/core/upstream_view.py
+++ b/src/monsoonline/core/upstream_view.py
@@ -8,6 +8,7 @@
 import random
 
 from monsoonline.core.slowdown_estimate import PoolSlowdown, SlowdownEstimate
+from monsoonline.core.upstream_limits import UpstreamLimit
 from monsoonline.types import AttemptKind
 
 __all__ = ["UpstreamState", "UpstreamView"]
@@ -52,6 +53,9 @@
         "_failures",
         "_failures_at",
         "in_flight",
+        "limit",
+        "limit_logged_at",
+        "limit_unreadable",
         "misdirected",
         "registration",
         "report",
@@ -68,6 +72,9 @@
         self.report = None
         self.reported_at = float("-inf")
         self.slowdown = SlowdownEstimate()
+        self.limit = UpstreamLimit()
+        self.limit_logged_at = float("-inf")
+        self.limit_unreadable = False
         self._failures = 0.0
         self._failures_at = 0.0
 
--- a/src/monsoonline/entry/attempts.py
+++ b/src/monsoonline/entry/attempts.py
@@ -24,11 +24,23 @@
     :param sessions: :class:`monsoonline.adapters.upstream_sessions.SessionPool`
     :param pools: :class:`monsoonline.entry.served_pools.ServedPools`
     :param crashes: :class:`monsoonline.core.crashes.CrashTracker`
+    :param limits: :class:`monsoonline.entry.limit_reader.LimitReader`
+    :param metrics: counters
     :param decisions: :class:`monsoonline.core.request_decisions.RequestDecisions`
     """
 
     def __init__(
-        self, *, clock, names, parse_load, sessions, pools, crashes, decisions
+        self,
+        *,
+        clock,
+        names,
+        parse_load,
+        sessions,
+        pools,
+        crashes,
+        limits,
+        metrics,
+        decisions,
     ):
         self._hedge_timer_class = decisions.hedge_timer
         self._clock = clock
@@ -37,6 +49,8 @@
         self._sessions = sessions
         self._pools = pools
         self._crashes = crashes
+        self._limits = limits
+        self._metrics = metrics
 
     def send(self, task, placed, *, hedge=False):
         """Send the request to the chosen upstream.
@@ -58,6 +72,7 @@
                 now=now,
             ),
         )
+        self._count_limited(task, state, hedge=hedge)
         task.open_attempts.append(attempt)
         task.attempts_sent += 1
         task.trail.add(self._chosen_event(task, attempt, hedge=hedge))
@@ -123,8 +138,9 @@
             attempt.session.close()
             self.finish(task, attempt, AttemptKind.CANCELLED)
 
-    def record_load_report(self, task, attempt, response):
-        """Record the load report of a response, if it has one."""
+    def record_reports(self, task, attempt, response):
+        """Record the load report and the request limit that a response states."""
+        self._limits.read(attempt.probe_result.state, response, sent_at=attempt.sent_at)
         text = response.header(self._names.load)
         report = None if text is None else self._parse_load(text)
         if report is not None:
@@ -132,6 +148,13 @@
                 attempt.probe_result.state, report, self._clock.now()
             )
 
+    def _count_limited(self, task, state, *, hedge):
+        """Count an attempt at an upstream that has named a limit."""
+        if state.limit.value is None:
+            return
+        kind = "hedge" if hedge else "repeat" if task.attempts_sent else "first"
+        self._metrics.count("attempts_at_limited_upstreams_total", kind=kind)
+
     def _chosen_event(self, task, attempt, *, hedge):
         """Return the decision event of an attempt that is about to be sent."""
         probe_result = attempt.probe_result
@@ -142,6 +165,7 @@
             second=hedge,
             running=probe_result.running,
             slots=probe_result.slots,
+            limit=state.limit.value,
             pace=probe_result.slowdown,
             report_age_ms=None
             if state.report is None
--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -22,6 +22,7 @@
 from monsoonline.core.splitting import ShareChooser
 from monsoonline.decision_log import DecisionLog
 from monsoonline.entry.attempts import Attempts
+from monsoonline.entry.limit_reader import LimitReader
 from monsoonline.entry.placer import Placer
 from monsoonline.entry.prober import UpstreamProber
 from monsoonline.entry.request_task import Event, Task
@@ -109,6 +110,7 @@
             on_failure=on_failure,
             decisions=decisions,
         )
+        limits = LimitReader(clock=clock, names=names, metrics=metrics)
         self._attempts = Attempts(
             clock=clock,
             names=names,
@@ -116,6 +118,8 @@
             sessions=sessions,
             pools=self._pools,
             crashes=crashes,
+            limits=limits,
+            metrics=metrics,
             decisions=decisions,
         )
         self._placer = Placer(
@@ -127,6 +131,7 @@
                 parse_load=parse_load,
                 on_unreachable=self._pools.note_unreachable,
                 on_slow_probe=self._pools.note_slow_probe,
+                limits=limits,
                 metrics=metrics,
                 poller=poller,
             ),
@@ -318,7 +323,7 @@
         if response is None:
             return None
         verdict = classify_response(response, self._names)
-        self._attempts.record_load_report(task, attempt, response)
+        self._attempts.record_reports(task, attempt, response)
         self._attempts.finish(
             task, attempt, ATTEMPT_KINDS[verdict], status=response.status
         )
@@ -420,7 +425,12 @@
     def _public_response(self, response):
         """Return a response without the headers that are internal to the fleet."""
         return response.without_headers(
-            (self._names.load, self._names.instance, self._names.not_run)
+            (
+                self._names.load,
+                self._names.instance,
+                self._names.limit,
+                self._names.not_run,
+            )
         )
 
     @staticmethod
--- a/src/monsoonline/entry/prober.py
+++ b/src/monsoonline/entry/prober.py
@@ -40,11 +40,13 @@
     :param session: session on which the probe is sent
     """
 
-    __slots__ = ("reused", "session", "state")
+    __slots__ = ("reused", "sent_at", "session", "state")
 
     def __init__(self, *, state, session):
         self.state = state
         self.session = session
+        # Instant in ms at which the probe was sent.
+        self.sent_at = None
         # The loss of a session that was open before is no sign of a failed upstream:
         # an idle connection may have been closed.
         self.reused = session.connected
@@ -93,6 +95,7 @@
     :param on_unreachable: called with the state of an upstream that did not respond
     :param on_slow_probe: called with the state of an upstream that did not respond
         on a new connection shortly after another upstream had responded
+    :param limits: :class:`monsoonline.entry.limit_reader.LimitReader`
     :param metrics: counters
     :param poller: returns a poll object with the interface of :func:`select.poll`
     """
@@ -106,6 +109,7 @@
         parse_load,
         on_unreachable,
         on_slow_probe,
+        limits,
         metrics,
         poller=select.poll,
     ):
@@ -116,6 +120,7 @@
         self._parse_load = parse_load
         self._on_unreachable = on_unreachable
         self._on_slow_probe = on_slow_probe
+        self._limits = limits
         self._metrics = metrics
 
     def open_probe(self, state, *, held=None):
@@ -191,6 +196,9 @@
 
     def _send(self, probe_round, pending):
         self._metrics.count("upstream_probes_total")
+        if pending.state.limit.value is not None:
+            self._metrics.count("probes_of_limited_upstreams_total")
+        pending.sent_at = self._clock.now()
         pending.session.send_probe(probe_round.probe)
         probe_round.add(pending, select.POLLIN)
 
@@ -236,6 +244,7 @@
             view.reports_load = report is not None
         if report is not None:
             view.record_report(state, report, self._clock.now())
+        self._limits.read(state, response, sent_at=pending.sent_at)
         probe_result = ProbeResult(
             state=state,
             report=report,
--- a/src/monsoonline/platform/headers.py
+++ b/src/monsoonline/platform/headers.py
@@ -25,6 +25,7 @@
     signature="X-Response-Signature",
     load="X-Server-Load",
     instance="X-Instance-Id",
+    limit="Server-Limit",
 )
 READINESS_PATH = "/-/ready"
 DISCOVERY_PATH = "/-/resolve"
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -20,6 +20,7 @@
         second=attempt > 1,
         running=1,
         slots=3,
+        limit=None,
         pace=1.0,
         report_age_ms=2.0,
         expected_ms=160.0,
