--- a/tests/entry/target_fixture.py
+++ b/tests/entry/target_fixture.py
@@ -33,8 +33,12 @@
         self._names = names
         self.instance = instance
         self.load = load
-        # Raw bytes of the requests that were executed.
+        # Value of its limit header, ``None`` to send none.
+        self.limit = None
+        # Raw bytes of the requests that were executed, and when they arrived, in s.
         self.executed = []
+        self.executed_at = []
+        self.probed_at = []
         # Whether requests and probes get a response; connections are always accepted.
         self.responsive = True
         # Requests on connections up to this number get no response.
@@ -62,22 +66,29 @@
             f"{self._names.signature}: s",
             f"Content-Length: {len(body)}",
             *(f"{name}: {value}" for name, value in headers),
+            *self._limit_lines(),
         ]
         return Reply(content="\r\n".join([*lines, "\r\n"]).encode() + body)
 
     def refuse(self, *, status=503):
         """Return the head of a certified refusal: the request did not run."""
-        return (
+        head = (
             f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n{self._names.not_run}: 1\r\n"
         )
+        return head + "".join(f"{line}\r\n" for line in self._limit_lines())
+
+    def _limit_lines(self):
+        return [] if self.limit is None else [f"{self._names.limit}: {self.limit}"]
 
     def _serve(self, connection, number):
         request = self._upstream.last_request()
         if connection <= self.unresponsive_connections or not self.responsive:
             return None
         if request.startswith(f"GET {HEALTH_PATH} ".encode()):
+            self.probed_at.append(time.monotonic())
             return self._report(request)
         self.executed.append(request)
+        self.executed_at.append(time.monotonic())
         reply = self._replies(len(self.executed), request)
         if isinstance(reply, dict):
             return self.respond(request, **reply)
@@ -95,6 +106,7 @@
                 f"HTTP/1.1 200 OK\r\n{self._names.request_id}: {echo_id}\r\n"
                 f"{self._names.instance}: {self.instance}\r\n"
                 f"{self._names.load}: {self.load}\r\n"
-                "Content-Length: 0\r\n\r\n"
+                + "".join(f"{line}\r\n" for line in self._limit_lines())
+                + "Content-Length: 0\r\n\r\n"
             ).encode()
         )
