Send to upstreams that name a limit only with a permit of their owner

Callers saw nothing; upstreams in need got two to three times the requests that they had said they take.

Cause: no decision knew a rate that all entries share. The class of fault is a limit on a sum that each entry could only keep for itself.

Change: each limited upstream has an owner, the first entry in an order that a hash of upstream and entry name gives. An entry asks the owner for a permit before each send, first attempts and repeats alike; hedges do not go to limited upstreams, and the search does not probe them. The owner issues permits at the rate of the limit; less urgent requests leave some to urgent ones. The next entry in the order takes over only when the owner does not respond to itself, and starts without permits. Unused permits are given back. The owner reads a limit that nobody read for 1 s with a probe, so the end of a limit of zero is noticed. With no permit left, a request is refused at once, with return times spread over what the pool accepts.

--- a/src/monsoonline/adapters/fleet_codec.py
+++ b/src/monsoonline/adapters/fleet_codec.py
@@ -7,6 +7,7 @@
 
 import base64
 import json
+import math
 import zlib
 
 from monsoonline.core import fleet_messages as messages
@@ -92,6 +93,42 @@
     )
 
 
+def pack_limit_age(observed):
+    """Return a :class:`LimitAge` as a list, with ages in whole milliseconds.
+
+    Rounding makes the response seem to have been sent earlier and received later, so
+    it is never taken as newer than it is.
+    """
+    sent_age_ms = observed.sent_age_ms
+    return [
+        observed.limit,
+        None if sent_age_ms is None else math.ceil(sent_age_ms),
+        math.floor(observed.received_age_ms),
+    ]
+
+
+def unpack_limit(value):
+    """Return a limit, ``None`` without one.
+
+    :raises ValueError: when it is not a number of at least 0
+    """
+    if value is None:
+        return None
+    limit = float(value)
+    if not 0 <= limit < math.inf:
+        raise ValueError(f"limit {value!r}, expected a number of at least 0")
+    return limit
+
+
+def unpack_limit_age(limit, sent_age_ms, received_age_ms):
+    """Return the :class:`LimitAge` packed in these fields."""
+    return messages.LimitAge(
+        limit=unpack_limit(limit),
+        sent_age_ms=None if sent_age_ms is None else float(sent_age_ms),
+        received_age_ms=float(received_age_ms),
+    )
+
+
 def pack_message(message):
     """Return a message as a list of JSON values that starts with its kind.
 
@@ -133,10 +170,32 @@
                 item.report.queued,
                 item.report.slots,
                 item.report.pace,
+                *(() if item.limit is None else (item.limit,)),
             ]
             for item in message.loads
         ]
         return ["loads", message.sender, message.chosen, loads]
+    if isinstance(message, messages.PermitRequest):
+        return [
+            "permit?",
+            message.number,
+            message.instance,
+            message.born_ms,
+            message.rank,
+            *pack_limit_age(message.observed),
+        ]
+    if isinstance(message, messages.PermitReply):
+        return [
+            "permit",
+            message.number,
+            int(message.result),
+            round(message.tokens, 3),
+            *pack_limit_age(message.observed),
+        ]
+    if isinstance(message, messages.PermitReturn):
+        return ["return", message.instance, message.born_ms]
+    if isinstance(message, messages.OwnerCheck):
+        return ["check", message.sender, int(message.response)]
     raise TypeError(f"cannot encode {message!r}: not a message between entries")
 
 
@@ -196,17 +255,53 @@
                     slots=max(1, int(slots)),
                     pace=float(pace),
                 ),
+                limit=unpack_limit(limit[0]) if limit else None,
             )
-            for instance, in_flight, queued, slots, pace in loads
+            for instance, in_flight, queued, slots, pace, *limit in loads
         ),
     )
 
 
+def unpack_permit_request(number, instance, born_ms, rank, *observed):
+    """Return the :class:`PermitRequest` packed in these fields."""
+    return messages.PermitRequest(
+        number=int(number),
+        instance=str(instance),
+        born_ms=int(born_ms),
+        rank=max(0, int(rank)),
+        observed=unpack_limit_age(*observed),
+    )
+
+
+def unpack_permit_reply(number, result, tokens, *observed):
+    """Return the :class:`PermitReply` packed in these fields."""
+    return messages.PermitReply(
+        number=int(number),
+        result=messages.PermitResult(result),
+        tokens=float(tokens),
+        observed=unpack_limit_age(*observed),
+    )
+
+
+def unpack_permit_return(instance, born_ms):
+    """Return the :class:`PermitReturn` packed in these fields."""
+    return messages.PermitReturn(instance=str(instance), born_ms=int(born_ms))
+
+
+def unpack_owner_check(sender, response):
+    """Return the :class:`OwnerCheck` packed in these fields."""
+    return messages.OwnerCheck(sender=str(sender), response=bool(response))
+
+
 UNPACKERS = {
     "beat": unpack_heartbeat,
     "read": unpack_read_notice,
     "failures": unpack_failure_notice,
     "loads": unpack_load_notice,
+    "permit?": unpack_permit_request,
+    "permit": unpack_permit_reply,
+    "return": unpack_permit_return,
+    "check": unpack_owner_check,
 }
 
 
--- a/src/monsoonline/core/fleet.py
+++ b/src/monsoonline/core/fleet.py
@@ -7,10 +7,12 @@
 
 import dataclasses
 
-__all__ = ["Fleet", "FleetMember", "MemberAge"]
+__all__ = ["Fleet", "FleetMember", "MemberAge", "single_entry_fleet"]
 
 # A member without an update for this time is not returned to callers.
 LIVENESS_TIMEOUT_MS = 1_800.0
+# A failure domain without an update of a member for this time is out of contact.
+CONTACT_TIMEOUT_MS = 5_000.0
 # A member without an update for this time is no longer sent messages.
 FORGET_TIMEOUT_MS = 60_000.0
 
@@ -103,6 +105,21 @@
             if now - self._updated_at[name] < LIVENESS_TIMEOUT_MS
         )
 
+    def contact_share(self, now):
+        """Return the share of the known entries that this entry is in contact with.
+
+        A failure domain counts whole while any of its members is heard, because the
+        members of remote domains are rarely heard one by one.
+        """
+        remaining = [m for m in self.others() if not m.leaving]
+        heard = {
+            member.failure_domain
+            for member in remaining
+            if now - self._updated_at.get(member.name, 0.0) < CONTACT_TIMEOUT_MS
+        }
+        in_contact = sum(member.failure_domain in heard for member in remaining)
+        return (1 + in_contact) / (1 + len(remaining))
+
     def ages(self, now, *, failure_domain):
         """Return the :class:`MemberAge` of each live member of one failure domain."""
         return tuple(
@@ -115,3 +132,11 @@
     def live_names(self, now):
         """Return the names of all live members, this entry included."""
         return (self._own.name, *(member.name for member in self.alive(now)))
+
+
+def single_entry_fleet(failure_domain):
+    """Return the :class:`Fleet` of an entry without others."""
+    own = FleetMember(
+        name="", failure_domain=failure_domain, callers_address="", peer_address=""
+    )
+    return Fleet(own=own)
--- a/src/monsoonline/core/fleet_messages.py
+++ b/src/monsoonline/core/fleet_messages.py
@@ -1,16 +1,25 @@
 """Messages between entries about themselves, the store and upstreams."""
 
 import dataclasses
+import enum
+import math
 
 from monsoonline.core.crashes import CrashReport
 from monsoonline.core.fleet import FleetMember, MemberAge
 from monsoonline.core.registrations import Registration, RegistrationDelta
+from monsoonline.core.upstream_limits import LimitObservation
 from monsoonline.types import LoadReport
 
 __all__ = [
     "Heartbeat",
     "FailureNotice",
+    "LimitAge",
     "LoadNotice",
+    "OwnerCheck",
+    "PermitReply",
+    "PermitRequest",
+    "PermitResult",
+    "PermitReturn",
     "ReadNotice",
     "SharedStateCopy",
     "UpstreamFailure",
@@ -87,10 +96,12 @@
 
     :param instance: id of the upstream
     :param report: its :class:`monsoonline.types.LoadReport`
+    :param limit: requests per second that it accepts, ``None`` without a limit
     """
 
     instance: str
     report: LoadReport
+    limit: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -125,3 +136,103 @@
     registrations: tuple[Registration, ...] | None
     read_age_ms: float | None
     members: tuple[MemberAge, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LimitAge:
+    """An observation of an upstream's limit with ages instead of instants.
+
+    :param limit: requests per second from all entries, ``None`` without a limit
+    :param sent_age_ms: time since the request was sent, ``None`` if unknown
+    :param received_age_ms: time since the response was received
+    """
+
+    limit: float | None
+    sent_age_ms: float | None
+    received_age_ms: float
+
+    @classmethod
+    def of(cls, observation, now):
+        """Return a :class:`LimitObservation` relative to the time ``now`` in ms."""
+        sent_age_ms = now - observation.sent_at
+        return cls(
+            limit=observation.limit,
+            sent_age_ms=None if math.isinf(sent_age_ms) else sent_age_ms,
+            received_age_ms=now - observation.received_at,
+        )
+
+    def at(self, now):
+        """Return the :class:`LimitObservation` of a message received at ``now``."""
+        sent_age_ms = math.inf if self.sent_age_ms is None else self.sent_age_ms
+        return LimitObservation(
+            limit=self.limit,
+            sent_at=now - sent_age_ms,
+            received_at=now - self.received_age_ms,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PermitRequest:
+    """Request to an upstream's owner for a permit to send one request.
+
+    :param number: number of the request, repeated in the reply
+    :param instance: id of the upstream
+    :param born_ms: start time of the upstream
+    :param rank: number of more urgent priorities in the pool
+    :param observed: the limit that the sender knows
+    """
+
+    number: int
+    instance: str
+    born_ms: int
+    rank: int
+    observed: LimitAge
+
+
+class PermitResult(enum.IntEnum):
+    """Result of a request for a permit."""
+
+    REFUSED = 0
+    ISSUED = 1
+    # The receiver does not take itself for the owner of the upstream.
+    NOT_OWNER = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PermitReply:
+    """Reply to a :class:`PermitRequest`.
+
+    :param number: number of the request
+    :param result: whether the request may be sent
+    :param tokens: permits that are left
+    :param observed: the limit that the owner knows
+    """
+
+    number: int
+    result: PermitResult
+    tokens: float
+    observed: LimitAge
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PermitReturn:
+    """Message to an upstream's owner that an issued permit was not used.
+
+    :param instance: id of the upstream
+    :param born_ms: start time of the upstream
+    """
+
+    instance: str
+    born_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OwnerCheck:
+    """Message that checks whether another entry responds.
+
+    :param sender: name of the entry that checks, in the response the one that responds
+    :param response: whether this is the response
+    """
+
+    sender: str
+    response: bool = False
--- a/src/monsoonline/core/load_shedding.py
+++ b/src/monsoonline/core/load_shedding.py
@@ -8,7 +8,7 @@
 
 import random
 
-__all__ = ["LoadShedder"]
+__all__ = ["LoadShedder", "ReturnSchedule"]
 
 # Share of the remaining time that the expected response time may take; the estimate is
 # a mean, and service times vary by about a third.
@@ -18,6 +18,8 @@
 MIN_RETRY_AFTER_MS = 120.0
 MAX_RETRY_AFTER_MS = 1_000.0
 RETRY_JITTER_SHARE = 0.5
+# Longest delay of a refusal for a limit. Callers that wait less return earlier anyway.
+MAX_SCHEDULED_DELAY_MS = 10_000.0
 
 
 class LoadShedder:
@@ -63,3 +65,21 @@
         wait_ms = MAX_RETRY_AFTER_MS if best_ms is None else best_ms / 2
         wait_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
         return wait_ms * (1.0 + RETRY_JITTER_SHARE * (self._generator.random() - 0.5))
+
+
+class ReturnSchedule:
+    """Spreads the returns of refused callers over what a limited pool accepts."""
+
+    def __init__(self):
+        self._next_at = float("-inf")
+
+    def next_delay_ms(self, now, *, rate):
+        """Return the delay in ms after which the next refused caller should retry.
+
+        :param now: the time in ms
+        :param rate: requests per second that the pool accepts from this entry
+        """
+        interval_ms = 1e3 / rate if rate > 0 else MAX_SCHEDULED_DELAY_MS
+        earliest = max(now + MIN_RETRY_AFTER_MS, self._next_at + interval_ms)
+        self._next_at = min(earliest, now + MAX_SCHEDULED_DELAY_MS)
+        return self._next_at - now
--- a/src/monsoonline/core/placement.py
+++ b/src/monsoonline/core/placement.py
@@ -231,15 +231,21 @@
             self._results[result.state.registration.instance] = result
 
     def best(self, service_time_ms, *, now):
-        """Return the result with the least expected time, ``None`` without results."""
-        return choose_probe_result(
-            self._results.values(), service_time_ms, self._allowance, now=now
-        )
+        """Return the result with the least expected time, ``None`` without results.
+
+        Upstreams that name a limit are left out, since a request to one needs a permit.
+        """
+        unlimited = [r for r in self._results.values() if r.state.limit.value is None]
+        return choose_probe_result(unlimited, service_time_ms, self._allowance, now=now)
 
     def loads(self):
         """Return the newest report of each probed upstream."""
         return tuple(
-            UpstreamLoad(instance=instance, report=result.report)
+            UpstreamLoad(
+                instance=instance,
+                report=result.report,
+                limit=result.state.limit.value,
+            )
             for instance, result in self._results.items()
             if result.report is not None
         )
--- a/src/monsoonline/core/upstream_view.py
+++ b/src/monsoonline/core/upstream_view.py
@@ -7,6 +7,7 @@
 import dataclasses
 import random
 
+from monsoonline.core.permits import PermitForecast
 from monsoonline.core.slowdown_estimate import PoolSlowdown, SlowdownEstimate
 from monsoonline.core.upstream_limits import UpstreamLimit
 from monsoonline.types import AttemptKind
@@ -38,6 +39,9 @@
 # it: crossing failure domains costs billed traffic, and little is known about remote
 # upstreams.
 REMOTE_RANK_PENALTY = 2.5
+# The same for an upstream with a limit, which is probed only with a permit. A few ms
+# between domains are small compared with the time at a slow upstream.
+REMOTE_PERMIT_PENALTY = 0.3
 # Share of a pool that may be ranked last for failures; a faulty route or caller must
 # not make a whole pool unusable.
 MAX_AVOIDED_SHARE = 0.5
@@ -57,6 +61,7 @@
         "limit_logged_at",
         "limit_unreadable",
         "misdirected",
+        "permits",
         "registration",
         "report",
         "reported_at",
@@ -75,6 +80,7 @@
         self.limit = UpstreamLimit()
         self.limit_logged_at = float("-inf")
         self.limit_unreadable = False
+        self.permits = PermitForecast()
         self._failures = 0.0
         self._failures_at = 0.0
 
@@ -148,6 +154,30 @@
             and instance not in excluded
         ]
 
+    def unlimited(self, excluded=frozenset()):
+        """Return the usable states of upstreams that name no limit."""
+        return [s for s in self.usable(excluded) if s.limit.value is None]
+
+    def limited(self, excluded=frozenset()):
+        """Return the usable states of upstreams that name a limit."""
+        return [s for s in self.usable(excluded) if s.limit.value is not None]
+
+    def limited_candidates(self, now, *, excluded=frozenset()):
+        """Return the usable states of upstreams that name a limit, the best first.
+
+        :param now: the time in ms
+        :param excluded: instances used by earlier attempts of the request
+        """
+        limited = self.limited(excluded)
+        self._generator.shuffle(limited)
+        limited.sort(
+            key=lambda s: (
+                self._rank(s, now)
+                + (0.0 if self.is_local(s) else REMOTE_PERMIT_PENALTY)
+            )
+        )
+        return limited
+
     def record_report(self, state, report, now):
         """Record a :class:`monsoonline.types.LoadReport` of an upstream."""
         state.report = report
@@ -174,6 +204,7 @@
     def candidates(self, now, *, excluded=frozenset()):
         """Return the upstreams that may take a request, the most promising first.
 
+        Upstreams with a limit are not among them: each request to one needs a permit.
         Upstreams in the entry's failure domain come first, since probing them causes
         no traffic between domains, unless they are known to be slow or full; those
         with recent failures come last. Within each group the fastest come first, and
@@ -183,7 +214,7 @@
         :param excluded: instances not to return
         :returns: two lists: local upstreams to probe first, and all others
         """
-        usable = self.usable(excluded)
+        usable = self.unlimited(excluded)
         self._generator.shuffle(usable)
         ranks = {id(state): self._rank(state, now) for state in usable}
         avoided = [s for s in usable if s.failures(now) >= MAX_FAILURE_WEIGHT]
--- a/src/monsoonline/entry/fleet_link.py
+++ b/src/monsoonline/entry/fleet_link.py
@@ -18,6 +18,10 @@
     FailureNotice,
     Heartbeat,
     LoadNotice,
+    OwnerCheck,
+    PermitReply,
+    PermitRequest,
+    PermitReturn,
     ReadNotice,
     UpstreamFailure,
 )
@@ -50,6 +54,7 @@
         entry reports
     :param on_loads: called with each :class:`LoadNotice` of another entry
     :param crashes: :class:`monsoonline.core.crashes.CrashTracker`
+    :param permits: :class:`monsoonline.entry.permits.UpstreamPermits`
     :param metrics: counters
     """
 
@@ -64,6 +69,7 @@
         on_failure,
         on_loads,
         crashes,
+        permits,
         metrics,
     ):
         host, _, port = address.rpartition(":")
@@ -74,8 +80,15 @@
         self._state = state
         self._schedule = schedule
         self._on_failure = on_failure
-        self._on_loads = on_loads
         self._crashes = crashes
+        # Handlers of messages to a single entry; they return the response, if any.
+        self._handlers = {
+            LoadNotice: on_loads,
+            OwnerCheck: permits.handle_check,
+            PermitReply: permits.handle_reply,
+            PermitRequest: permits.issue,
+            PermitReturn: permits.take_back,
+        }
         self._metrics = metrics
         self._recipient_selector = RecipientSelector(fleet=fleet)
         self._stopping = threading.Event()
@@ -139,6 +152,10 @@
         for member in self._fleet.others():
             self._send(member, content)
 
+    def send(self, member, message):
+        """Send a message to one member."""
+        self._send(member, encode_datagram(message))
+
     def queue_failure(self, instance, weight):
         """Queue a failure for the next failure notice to the other entries."""
         with self._lock:
@@ -241,7 +258,7 @@
     def _receive(self):
         while not self._stopping.is_set():
             try:
-                content = self._socket.recv(RECEIVE_BUFFER_BYTES)
+                content, address = self._socket.recvfrom(RECEIVE_BUFFER_BYTES)
             except OSError as error:
                 if self._stopping.is_set():
                     return
@@ -255,13 +272,18 @@
                 self._metrics.count("fleet_messages_rejected_total")
                 logger.debug("message rejected", extra={"error": str(error)})
                 continue
-            self._handle_message(message)
+            response = self._handle_message(message)
+            if response is not None:
+                self._send_to(address, encode_datagram(response))
 
     def _handle_message(self, message):
+        """Handle a message; return the one to send back, ``None`` without one."""
+        handler = self._handlers.get(type(message), self._handle_notice)
+        return handler(message)
+
+    def _handle_notice(self, message):
+        """Handle a message that names the member that sent it."""
         now = self._clock.now()
-        if isinstance(message, LoadNotice):
-            self._on_loads(message)
-            return
         if message.sender.name == self._fleet.own.name:
             return
         self._fleet.update(message.sender, now=now)
@@ -370,8 +392,11 @@
 
     def _send(self, member, content):
         host, _, port = member.peer_address.rpartition(":")
+        self._send_to((host, int(port)), content)
+
+    def _send_to(self, address, content):
         try:
-            self._socket.sendto(content, (host, int(port)))
+            self._socket.sendto(content, address)
         except OSError as error:
             self._metrics.count("fleet_messages_unsent_total")
             logger.debug("message not sent", extra={"error": repr(error)})
--- a/src/monsoonline/entry/fleet_service.py
+++ b/src/monsoonline/entry/fleet_service.py
@@ -30,6 +30,7 @@
 
 AUXILIARY_SERVER_WORKERS = 128
 STATE_CHECK_INTERVAL_MS = 20.0
+LIMIT_REFRESH_INTERVAL_MS = 250.0
 # Time within which the other entries learn that this one is leaving.
 PROPAGATION_MS = 1_000.0
 IDLE_CONNECTION_MS = 300.0
@@ -128,6 +129,8 @@
             on_failure=self._queue_failure,
             on_loads=self._send_loads,
             metrics=self._metrics,
+            fleet=self._fleet,
+            send=self._send_message,
         )
         self._state = SharedState(
             decode_tables=dialect.decode_tables,
@@ -145,6 +148,7 @@
             on_failure=self._relay.note_peer_failure,
             on_loads=self._relay.note_peer_loads,
             crashes=self._crashes,
+            permits=self._relay.permits,
             metrics=self._metrics,
         )
         self._reader = StoreReader(
@@ -185,7 +189,8 @@
         for server in (self._callers, *self._auxiliary_servers):
             server.start()
         self._reader.start()
-        threading.Thread(target=self._wait_for_state, name="state", daemon=True).start()
+        for task in (self._wait_for_state, self._refresh_limits):
+            threading.Thread(target=task, name=task.__name__, daemon=True).start()
 
     def use_settings(self, settings):
         """Apply the changed settings that do not require a restart.
@@ -301,6 +306,9 @@
     def _queue_failure(self, instance, weight):
         self._link.queue_failure(instance, weight)
 
+    def _send_message(self, member, message):
+        self._link.send(member, message)
+
     def _send_loads(self, loads, chosen):
         self._link.send_loads(loads, chosen)
 
@@ -311,6 +319,14 @@
                 self._lifecycle.set_ready()
                 return
 
+    def _refresh_limits(self):
+        while not self._stopping.wait(LIMIT_REFRESH_INTERVAL_MS / 1e3):
+            try:
+                self._relay.refresh_limits()
+            except Exception:
+                self._metrics.count("limit_refresh_failures_total")
+                logger.exception("unexpected error while reading limits")
+
     def _announce(self):
         state = self._lifecycle.state
         self._fleet.set_own(
--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -17,12 +17,15 @@
     RequestRefused,
     RouteMatched,
 )
+from monsoonline.core.fleet import single_entry_fleet
 from monsoonline.core.request_decisions import RequestDecisions
 from monsoonline.core.response_classification import ResponseClass, classify_response
 from monsoonline.core.splitting import ShareChooser
+from monsoonline.core.upstream_limits import LimitObservation
 from monsoonline.decision_log import DecisionLog
 from monsoonline.entry.attempts import Attempts
 from monsoonline.entry.limit_reader import LimitReader
+from monsoonline.entry.permits import UpstreamPermits
 from monsoonline.entry.placer import Placer
 from monsoonline.entry.prober import UpstreamProber
 from monsoonline.entry.request_task import Event, Task
@@ -68,6 +71,9 @@
     :param on_loads: called with the load reports of each search and the upstream that
         was chosen
     :param metrics: counters
+    :param fleet: :class:`monsoonline.core.fleet.Fleet` of the entries that share the
+        upstreams' limits, only this entry when omitted
+    :param send: sends a message to a member of the fleet
     :param decisions: :class:`monsoonline.core.request_decisions.RequestDecisions`,
         the default ones when omitted
     :param poller: returns a poll object with the interface of :func:`select.poll`, used
@@ -89,6 +95,8 @@
         on_failure,
         on_loads,
         metrics,
+        fleet=None,
+        send=None,
         decisions=None,
         poller=select.poll,
     ):
@@ -110,7 +118,15 @@
             on_failure=on_failure,
             decisions=decisions,
         )
-        limits = LimitReader(clock=clock, names=names, metrics=metrics)
+        self._limits = LimitReader(clock=clock, names=names, metrics=metrics)
+        self._permits = UpstreamPermits(
+            clock=clock,
+            fleet=fleet or single_entry_fleet(failure_domain),
+            find_state=self._pools.find_state,
+            limits=self._limits,
+            send=send,
+            metrics=metrics,
+        )
         self._attempts = Attempts(
             clock=clock,
             names=names,
@@ -118,7 +134,7 @@
             sessions=sessions,
             pools=self._pools,
             crashes=crashes,
-            limits=limits,
+            limits=self._limits,
             metrics=metrics,
             decisions=decisions,
         )
@@ -131,7 +147,7 @@
                 parse_load=parse_load,
                 on_unreachable=self._pools.note_unreachable,
                 on_slow_probe=self._pools.note_slow_probe,
-                limits=limits,
+                limits=self._limits,
                 metrics=metrics,
                 poller=poller,
             ),
@@ -140,6 +156,7 @@
             probes_per_second=probes_per_second,
             entries=entries,
             on_loads=on_loads,
+            permits=self._permits,
             decisions=decisions,
         )
 
@@ -170,8 +187,32 @@
         self._pools.note_peer_failure(instance, weight)
 
     def note_peer_loads(self, notice):
-        """Record the load reports that another entry received."""
+        """Record the load reports and limits that another entry received."""
         self._pools.note_peer_loads(notice)
+        now = self._clock.now()
+        for load in notice.loads:
+            state = self._pools.find_state(load.instance)
+            if state is not None and load.limit is not None:
+                # The age of the response is not known, so it ends no limit and raises
+                # none.
+                self._limits.apply(
+                    state,
+                    LimitObservation(
+                        limit=load.limit, sent_at=float("-inf"), received_at=now
+                    ),
+                )
+
+    @property
+    def permits(self):
+        """The :class:`monsoonline.entry.permits.UpstreamPermits`."""
+        return self._permits
+
+    def refresh_limits(self):
+        """Read the limits of this entry's own upstreams that were not read lately."""
+        for served in self._pools.served():
+            for state in served.view.limited():
+                if self._permits.needs_refresh(state):
+                    self._placer.probe(served, state)
 
     def handle(self, request):
         """Serve one request and return the response for its caller.
@@ -342,7 +383,7 @@
         task.may_have_run = True
         kind = AttemptKind.TIMED_OUT if error.timed_out else AttemptKind.CONNECTION_LOST
         state = attempt.probe_result.state
-        reachable = error.timed_out or self._placer.is_reachable(task, state)
+        reachable = error.timed_out or self._placer.probe(task.pool, state)
         self._attempts.finish(task, attempt, kind, reachable=reachable)
         self._metrics.count("attempts_lost_total", route=task.route.name)
         return self._retry_or_conclude(task, kind.value)
--- a/src/monsoonline/entry/placer.py
+++ b/src/monsoonline/entry/placer.py
@@ -3,7 +3,11 @@
 The upstream has just responded to a probe on the connection that the attempt uses.
 """
 
+import math
+
+from monsoonline.core.fleet_messages import UpstreamLoad
 from monsoonline.core.placement import (
+    MAX_PROMISING_SLOWDOWN,
     ProbeResult,
     SlotAllowance,
     choose_probe_result,
@@ -21,6 +25,8 @@
 UNREPORTED_LOAD_CHOICES = 2
 # Used where only the order of the probe results matters, not the free slots.
 DEFAULT_SLOT_ALLOWANCE = SlotAllowance()
+# Permits that a request asks for, so that a refusal takes a few round trips at most.
+MAX_PERMIT_REQUESTS = 3
 
 
 class Placer:
@@ -34,6 +40,7 @@
     :param entries: returns the number of entries that share the probe budget
     :param on_loads: called with the load reports of each search and the upstream that
         was chosen
+    :param permits: :class:`monsoonline.entry.permits.UpstreamPermits`
     :param decisions: :class:`monsoonline.core.request_decisions.RequestDecisions`
     """
 
@@ -47,6 +54,7 @@
         probes_per_second,
         entries,
         on_loads,
+        permits,
         decisions,
     ):
         self._clock = clock
@@ -56,6 +64,7 @@
         self._probes_per_second = probes_per_second
         self._entries = entries
         self._on_loads = on_loads
+        self._permits = permits
         self._search = decisions.search
         self._load_shedder = decisions.load_shedder(generator=decisions.generator)
 
@@ -72,13 +81,78 @@
             held for the attempt
         :raises Refusal: when no upstream is usable or none can respond in time
         """
-        view = task.pool.view
-        work_ms = self._pools.work_of(task.route).value
-        if view.reports_load is False:
-            return self._place_without_load(task, work_ms)
         slot_allowance = task.pool.overload_detector.slot_allowance(
-            urgent=task.route.priority <= task.pool.most_urgent_priority
+            urgent=task.pool.rank_of(task.route) == 0
         )
+        # Upstreams with a limit come first unless they are slow, so that what they
+        # accept relieves the others. A hedge takes no permit from a first attempt.
+        limited = None
+        if not hedge:
+            limited = self._place_limited(task, slot_allowance, MAX_PROMISING_SLOWDOWN)
+        if limited is not None:
+            return limited
+        if task.pool.view.reports_load is False:
+            return self._place_without_load(task)
+        placed = self._search_unlimited(task, slot_allowance)
+        if not hedge and not self._has_free_slot(placed, slot_allowance):
+            limited = self._place_limited(
+                task, slot_allowance, self._slowdown_limit(task, placed, slot_allowance)
+            )
+        if limited is not None:
+            if placed is not None:
+                self._sessions.check_in(placed.session)
+            return limited
+        return self._admit(task, placed, slot_allowance, hedge=hedge)
+
+    def _place_limited(self, task, slot_allowance, max_slowdown):
+        """Choose an upstream with a limit for which a permit is issued.
+
+        :param max_slowdown: slowdown above which upstreams are not considered
+        :returns: a :class:`monsoonline.entry.prober.ProbedUpstream`, ``None`` if no
+            permit was issued or the upstream cannot respond in time
+        """
+        view, now = task.pool.view, self._clock.now()
+        rank = task.pool.rank_of(task.route)
+        promising = [
+            state
+            for state in view.limited_candidates(now, excluded=task.excluded)
+            if view.slowdown_of(state, now) <= max_slowdown
+            and state.permits.allows(now, limit=state.limit.value or 0.0, rank=rank)
+        ]
+        for state in promising[:MAX_PERMIT_REQUESTS]:
+            if not self._permits.acquire(state, rank):
+                continue
+            placed = self._probe_permitted(task, state, slot_allowance)
+            if placed is not None:
+                task.pool.overload_detector.record_search(True)
+                return placed
+            self._permits.give_back(state)
+        return None
+
+    def _probe_permitted(self, task, state, slot_allowance):
+        """Probe an upstream for which a permit was issued.
+
+        :returns: a :class:`monsoonline.entry.prober.ProbedUpstream`, ``None`` if the
+            upstream cannot respond in time
+        """
+        for item in self._probe(task, [state], None, slot_allowance):
+            admitted = self._admits(task, item, slot_allowance)
+            if item.probe_result.report is not None:
+                load = UpstreamLoad(
+                    instance=state.registration.instance,
+                    report=item.probe_result.report,
+                    limit=state.limit.value,
+                )
+                self._on_loads((load,), load.instance if admitted else "")
+            if admitted:
+                return item
+            self._sessions.check_in(item.session)
+        return None
+
+    def _search_unlimited(self, task, slot_allowance):
+        """Search for the best upstream without a limit, ``None`` if there is none."""
+        view = task.pool.view
+        work_ms = self._pools.work_of(task.route).value
         local, remote = view.candidates(self._clock.now(), excluded=task.excluded)
         search = self._search(local=local, remote=remote, allowance=slot_allowance)
         search_end = task.started + self._load_shedder.search_limit_ms(task.route)
@@ -100,7 +174,21 @@
         )
         chosen = held.probe_result.state.registration.instance if held else ""
         self._on_loads(search.loads(), chosen)
-        return self._admit(task, held, work_ms, slot_allowance, hedge=hedge)
+        return held
+
+    @staticmethod
+    def _has_free_slot(placed, slot_allowance):
+        return placed is not None and has_free_slot(placed.probe_result, slot_allowance)
+
+    def _slowdown_limit(self, task, placed, slot_allowance):
+        """Return the slowdown from which an upstream is no better than ``placed``.
+
+        :param placed: a :class:`monsoonline.entry.prober.ProbedUpstream` or ``None``
+        """
+        if placed is None:
+            return math.inf
+        work_ms = self._pools.work_of(task.route).value
+        return self._expected_ms(task, placed, slot_allowance) / work_ms
 
     def _allowed(self, task, states, best):
         """Return the upstreams that the probe budget allows to probe.
@@ -136,19 +224,23 @@
     def _keep(self, probed, best):
         """Return the item with the best result, the first item if ``best`` is ``None``.
 
-        The sessions of the other items are checked in.
+        The sessions of the other items are checked in, as are those of upstreams that
+        have just named a limit.
         """
         kept = None
         for item in probed:
-            if kept is None and (best is None or item.probe_result is best):
+            limited = item.probe_result.state.limit.value is not None
+            wanted = best is None or item.probe_result is best
+            if kept is None and wanted and not limited:
                 kept = item
             else:
                 self._sessions.check_in(item.session)
         return kept
 
-    def _place_without_load(self, task, work_ms):
+    def _place_without_load(self, task):
         """Choose by this entry's own requests when the pool reports no load."""
         now = self._clock.now()
+        work_ms = self._pools.work_of(task.route).value
         local, remote = task.pool.view.candidates(now, excluded=task.excluded)
         states = (local + remote)[:UNREPORTED_LOAD_CHOICES]
         probe_results = [
@@ -158,44 +250,77 @@
             probe_results, work_ms, DEFAULT_SLOT_ALLOWANCE, now=now
         )
         if chosen is None:
-            raise self.refusal("the pool has no usable upstream", "no-upstream")
+            raise self._no_upstream_refusal(task)
         # A response to the probe verifies the connection. The request waits here no
         # longer than the probe timeout, also when the upstream has no free slot.
-        probed = self._probe(task, [chosen.state], None)
-        if not probed:
+        probed = self._keep(self._probe(task, [chosen.state], None), None)
+        if probed is None:
             task.excluded.add(chosen.state.registration.instance)
             raise self.refusal("the upstream is not reachable", "unreachable")
-        return probed[0]
+        return probed
 
-    def _admit(self, task, best, work_ms, slot_allowance, *, hedge):
-        now = self._clock.now()
-        if best is None:
-            raise self.refusal("the pool has no usable upstream", "no-upstream")
-        best_ms = expected_ms(best.probe_result, work_ms, slot_allowance, now=now)
-        admitted = self._load_shedder.admits(
-            best_ms,
-            objective_left_ms=task.started + task.route.success.latency_ms - now,
-            time_left_ms=task.deadline - now,
-            has_free_slot=has_free_slot(best.probe_result, slot_allowance),
-            overloaded=task.pool.overload_detector.overloaded,
+    def _admit(self, task, placed, slot_allowance, *, hedge):
+        """Return the chosen upstream if the request may be sent to it.
+
+        :raises Refusal: when it may not, or when ``placed`` is ``None``
+        """
+        if placed is None:
+            raise self._no_upstream_refusal(task)
+        acceptable = is_acceptable(placed.probe_result, slot_allowance)
+        if self._admits(task, placed, slot_allowance) and (acceptable or not hedge):
+            return placed
+        self._sessions.check_in(placed.session)
+        best_ms = self._expected_ms(task, placed, slot_allowance)
+        raise self.refusal(
+            f"the best upstream would need {best_ms:.0f} ms",
+            "overload",
+            self._load_shedder.retry_after_ms(best_ms),
         )
-        leaving = best.probe_result.state.registration.leaving
-        if (
-            leaving
-            or not admitted
-            or (hedge and not is_acceptable(best.probe_result, slot_allowance))
-        ):
-            self._sessions.check_in(best.session)
-            raise self.refusal(
-                f"the best upstream would need {best_ms:.0f} ms",
-                "overload",
-                self._load_shedder.retry_after_ms(best_ms),
+
+    def _admits(self, task, placed, slot_allowance):
+        """Return whether the request would be answered in time by an upstream."""
+        now = self._clock.now()
+        return not placed.probe_result.state.registration.leaving and (
+            self._load_shedder.admits(
+                self._expected_ms(task, placed, slot_allowance),
+                objective_left_ms=task.started + task.route.success.latency_ms - now,
+                time_left_ms=task.deadline - now,
+                has_free_slot=has_free_slot(placed.probe_result, slot_allowance),
+                overloaded=task.pool.overload_detector.overloaded,
             )
-        return best
+        )
 
-    def is_reachable(self, task, state):
-        """Return whether an upstream still responds after it closed a connection."""
-        probed = self._probe(task, [state], None)
+    def _expected_ms(self, task, placed, slot_allowance):
+        work_ms = self._pools.work_of(task.route).value
+        return expected_ms(
+            placed.probe_result, work_ms, slot_allowance, now=self._clock.now()
+        )
+
+    def _no_upstream_refusal(self, task):
+        """Return the refusal when no upstream may get the request now."""
+        limits = [s.limit.value or 0.0 for s in task.pool.view.limited()]
+        if not limits:
+            return self.refusal("the pool has no usable upstream", "no-upstream")
+        return self.refusal(
+            f"the {len(limits)} upstreams with a limit accept no more now",
+            "limited",
+            task.pool.return_schedule.next_delay_ms(
+                self._clock.now(), rate=sum(limits) / max(1, self._entries())
+            ),
+        )
+
+    def probe(self, served, state):
+        """Probe one upstream and return whether it responded.
+
+        :param served: the :class:`monsoonline.entry.served_pools.ServedPool`
+        :param state: the upstream's state
+        """
+        probed = self._prober.probe_upstreams(
+            served.view,
+            [self._prober.open_probe(state)],
+            served.probe,
+            slot_allowance=DEFAULT_SLOT_ALLOWANCE,
+        )
         for item in probed:
             self._sessions.check_in(item.session)
         return bool(probed)
--- a/src/monsoonline/entry/served_pools.py
+++ b/src/monsoonline/entry/served_pools.py
@@ -3,6 +3,7 @@
 import threading
 
 from monsoonline.adapters.upstream_sessions import Probe
+from monsoonline.core.load_shedding import ReturnSchedule
 from monsoonline.core.overload import NEARLY_FULL_SHARE
 from monsoonline.core.placement import MAX_ACCEPTABLE_SLOWDOWN, ServiceTimeEstimate
 from monsoonline.core.probe_allowance import ProbeAllowance
@@ -13,7 +14,6 @@
 
 __all__ = ["ServedPool", "ServedPools"]
 
-LOWEST_PRIORITY = 1 << 30
 # Weight of a probe without a response in time, relative to the failures in
 # ``upstream_view``: the second one within the half-life of failures makes an entry
 # avoid the upstream.
@@ -40,8 +40,13 @@
         self.probe = probe
         self.allowance = allowance
         self.overload_detector = overload_detector
-        # Lowest priority number of the routes to the pool.
-        self.most_urgent_priority = LOWEST_PRIORITY
+        self.return_schedule = ReturnSchedule()
+        # Priority numbers of the routes to the pool; the lowest is the most urgent.
+        self.priorities = frozenset()
+
+    def rank_of(self, route):
+        """Return how many priorities of the pool are more urgent than a route's."""
+        return sum(priority < route.priority for priority in self.priorities)
 
 
 class ServedPools:
@@ -115,6 +120,18 @@
             self._registrations = registrations
             self._update_views()
 
+    def served(self):
+        """Return all :class:`ServedPool` items."""
+        return tuple(self._pools.values())
+
+    def find_state(self, instance):
+        """Return the state of an upstream, ``None`` if it is not known."""
+        for served in self.served():
+            state = served.view.states.get(instance)
+            if state is not None:
+                return state
+        return None
+
     def note_peer_failure(self, instance, weight):
         """Record an upstream failure that another entry observed."""
         now = self._clock.now()
@@ -190,7 +207,7 @@
         if existing is not None:
             existing.pool = pool
             existing.probe = probe
-            existing.most_urgent_priority = LOWEST_PRIORITY
+            existing.priorities = frozenset()
             return existing
         return ServedPool(
             pool=pool,
@@ -208,9 +225,7 @@
         for name in names:
             served = self._pools.get(name)
             if served is not None:
-                served.most_urgent_priority = min(
-                    served.most_urgent_priority, route.priority
-                )
+                served.priorities |= {route.priority}
 
     def _update_views(self):
         by_pool = {name: [] for name in self._pools}
