Match probe responses to their probes, and send nothing on a used-up connection

What callers saw: requests placed by load reports that were up to seconds old, and new connections, since a session on which an old response had taken the place of the current one was closed after its request. A request that followed a probe response with 'Connection: close' was sent on the closing connection and lost: 502 for a booking that no upstream had read.

A probe without an id was answered by whatever came next on the connection: the response to a probe that had been abandoned because another upstream was faster, or a response written twice. And the state 'the peer closes' was looked at only after the request.

Change: a session counts its unread probes and matches responses without id in order; before a probe it reads what has arrived and fails if other bytes stand in the connection; bytes after the response make it unusable. The prober starts again once on a new connection where a session cannot be reused.

Evidence: six checks of tests/adapters/test_upstream_sessions.py and test_request_after_a_probe_response_that_closes_is_lost failed before and pass.

Two faults in one commit: the second shows only where the prober looks at the state that the first fix sets.

--- a/src/monsoonline/adapters/upstream_sessions.py
+++ b/src/monsoonline/adapters/upstream_sessions.py
@@ -26,6 +26,8 @@
 # belong to earlier probes or match no request.
 MAX_STRAY_RESPONSES = 8
 MAX_IDLE_SESSIONS = 4
+# Longest wait for the rest of a response that has begun to arrive before a probe.
+DRAIN_TIMEOUT_MS = 5.0
 BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
 READ_EVENTS = select.POLLIN | select.POLLRDHUP
 
@@ -128,7 +130,9 @@
         self._socket = None
         self._reader = None
         self._stream = None
-        self._probe_ids = collections.deque(maxlen=MAX_STRAY_RESPONSES)
+        # Ids of the probes whose responses were not read, the oldest first. Responses
+        # need not repeat the id; they arrive in the order of the probes.
+        self._unread_probe_ids = collections.deque()
         self._idle_limit_ms = DEFAULT_IDLE_LIMIT_MS
         # Set after an unexpected response, an error, or when the peer will close.
         self._close_after_use = False
@@ -189,25 +193,29 @@
     def send_probe(self, probe):
         """Send a load probe.
 
-        :raises SessionFailed: when the connection is lost
+        :raises SessionFailed: when the connection is lost or holds bytes that belong to
+            no probe, such as a response written twice
         """
+        self._drain()
         request_id = f"{next(self._probe_numbers):016x}"
-        self._probe_ids.append(request_id)
+        self._unread_probe_ids.append(request_id)
         self._send(probe.encode(self._address, request_id), self._clock.now())
 
     def read_probe(self, *, deadline):
         """Return the response to the last probe.
 
+        The session is not reusable after a response that belongs to no probe.
+
         :param deadline: clock time in ms
         :raises SessionFailed: when none was received by the deadline
         """
-        expected_id = self._probe_ids[-1]
         for _ in range(MAX_STRAY_RESPONSES):
             response = self._read_one("GET", deadline)
-            received_id = response.header(self._names.request_id)
-            if received_id in (expected_id, None):
+            self._match_probe(response)
+            if not self._unread_probe_ids:
+                if self._has_unread_bytes():
+                    self._close_after_use = True
                 return response
-            self._check_stray(received_id)
         raise SessionFailed(f"{self._address}: no response to a probe", sent=True)
 
     def send_request(self, request, *, headers, deadline):
@@ -239,7 +247,7 @@
             received_id = response.header(self._names.request_id)
             if received_id == request_id:
                 return response
-            self._check_stray(received_id)
+            self._close_after_use = True
             if not self._has_buffered_bytes():
                 return None
         raise SessionFailed(f"{self._address}: too many stray responses", sent=True)
@@ -290,11 +298,46 @@
         self.last_used_at = self._clock.now()
         return framed.response
 
-    def _check_stray(self, received_id):
-        """Mark the session for closing unless the response is to a recent probe."""
-        if received_id not in self._probe_ids:
+    def _match_probe(self, response):
+        """Remove the probe of a response, and those before it, from the unread ones.
+
+        Marks the session for closing after a response that belongs to no probe.
+        """
+        unread = self._unread_probe_ids
+        received_id = response.header(self._names.request_id)
+        if received_id is None:
+            unread.popleft()
+        elif received_id in unread:
+            while unread.popleft() != received_id:
+                pass
+        else:
             self._close_after_use = True
 
+    def _drain(self):
+        """Read the responses to earlier probes that have arrived.
+
+        :raises SessionFailed: when other bytes have arrived
+        """
+        while self._unread_probe_ids and self._has_unread_bytes():
+            response = self._read_one("GET", self._clock.now() + DRAIN_TIMEOUT_MS)
+            self._match_probe(response)
+        if self._close_after_use or self._has_unread_bytes():
+            raise SessionFailed(
+                f"{self._address}: the connection holds unexpected bytes", sent=False
+            )
+
+    def _has_unread_bytes(self):
+        """Return whether bytes, or the end of the connection, can be read now."""
+        if self._has_buffered_bytes():
+            return True
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
     def _has_buffered_bytes(self):
         self._reader.buffer_only = True
         try:
--- a/src/monsoonline/entry/prober.py
+++ b/src/monsoonline/entry/prober.py
@@ -38,13 +38,15 @@
 
     :param state: the upstream's state
     :param session: session on which the probe is sent
+    :param is_retry: whether an earlier probe of the upstream failed in this round
     """
 
-    __slots__ = ("reused", "sent_at", "session", "state")
+    __slots__ = ("is_retry", "reused", "sent_at", "session", "state")
 
-    def __init__(self, *, state, session):
+    def __init__(self, *, state, session, is_retry=False):
         self.state = state
         self.session = session
+        self.is_retry = is_retry
         # Instant in ms at which the probe was sent.
         self.sent_at = None
         # The loss of a session that was open before is no sign of a failed upstream:
@@ -211,7 +213,13 @@
         try:
             if pending.session.connected:
                 response = pending.session.read_probe(deadline=probe_round.deadline)
-                return self._read_result(pending, view, response)
+                if pending.session.reusable:
+                    return self._read_result(pending, view, response)
+                # The peer closes it, or has sent bytes that belong to no probe.
+                self._retry_or_give_up(
+                    probe_round, pending, "the session cannot be reused", responded=True
+                )
+                return None
             pending.session.end_connect()
             self._metrics.count("upstream_connections_total")
             self._send(probe_round, pending)
@@ -219,16 +227,22 @@
             self._retry_or_give_up(probe_round, pending, error)
         return None
 
-    def _retry_or_give_up(self, probe_round, pending, error):
-        """Probe again over a new connection if a reused one was lost."""
+    def _retry_or_give_up(self, probe_round, pending, error, *, responded=False):
+        """Probe once more over a new connection if the upstream may be reachable.
+
+        :param responded: whether the upstream responded on the failed session
+        """
         pending.session.close()
-        if not pending.reused:
+        if pending.is_retry or not (pending.reused or responded):
             logger.debug("upstream is unreachable", extra={"error": str(error)})
             self._on_unreachable(pending.state)
             return
         self._metrics.count("upstream_sessions_lost_total")
         session = self._sessions.open_new(pending.state.address)
-        self._start(probe_round, PendingProbe(state=pending.state, session=session))
+        self._start(
+            probe_round,
+            PendingProbe(state=pending.state, session=session, is_retry=True),
+        )
 
     def _read_result(self, pending, view, response):
         state = pending.state
--- a/tests/adapters/scripted_upstream.py
+++ b/tests/adapters/scripted_upstream.py
@@ -53,6 +53,11 @@
         """Return the request for which the calling script was called."""
         return self._serving.request
 
+    def send_to_all(self, content):
+        """Send bytes on all open connections, whether a request waits or not."""
+        for connection in self._open:
+            connection.sendall(content)
+
     def close(self):
         for opened in (self._listener, *self._open):
             with contextlib.suppress(OSError):
--- a/tests/adapters/test_upstream_sessions.py
+++ b/tests/adapters/test_upstream_sessions.py
@@ -1,6 +1,7 @@
 """Tests of upstream sessions over sockets."""
 
 import select
+import time
 import unittest
 
 from monsoonline.adapters.upstream_sessions import Probe, SessionFailed, SessionPool
@@ -21,8 +22,8 @@
     return Reply(content="\r\n".join([*lines, "\r\n"]).encode() + body, close=close)
 
 
-class TestUpstreamSession(unittest.TestCase):
-    """A session returns only the complete response to its own request."""
+class SessionTest(unittest.TestCase):
+    """Base class with a session to a scripted upstream."""
 
     def session_to(self, script):
         self.upstream = ScriptedUpstream(script=script)
@@ -55,6 +56,10 @@
             result = session.read_request(REQUEST, request_id, deadline=deadline)
         return result
 
+
+class TestUpstreamSession(SessionTest):
+    """A session returns only the complete response to its own request."""
+
     def test_session_is_reusable_after_a_complete_response(self):
         session = self.session_to(lambda connection, number: response("own"))
         self.assertEqual(self.exchange(session).body, b"ok")
@@ -143,3 +148,81 @@
         self.assertEqual(
             session.read_probe(deadline=self.clock.now() + WAIT_MS).body, b"new"
         )
+
+
+def probe_response(load, *, request_id=None):
+    """Return a response to a probe, without an id unless one is given."""
+    lines = ["HTTP/1.1 200 OK", f"{NAMES.load}: {load}", "Content-Length: 0"]
+    if request_id is not None:
+        lines.append(f"{NAMES.request_id}: {request_id}")
+    return Reply(content="\r\n".join([*lines, "\r\n"]).encode())
+
+
+class TestProbesWithoutIds(SessionTest):
+    """Responses to probes need not repeat an id, so their order must be reliable."""
+
+    def probe(self, session):
+        session.send_probe(Probe(path="/health", names=NAMES))
+
+    def read(self, session):
+        return session.read_probe(deadline=self.clock.now() + WAIT_MS)
+
+    def wait_readable(self, session):
+        poller = select.poll()
+        poller.register(session.fileno(), select.POLLIN)
+        self.assertTrue(poller.poll(WAIT_MS))
+
+    def test_response_to_an_abandoned_probe_is_taken_for_the_newest(self):
+        session = self.session_to(lambda connection, number: probe_response(number))
+        self.probe(session)
+        self.wait_readable(session)
+        self.probe(session)
+        self.assertEqual(self.read(session).header(NAMES.load), "2")
+        self.assertTrue(session.reusable)
+
+    def test_late_response_to_an_abandoned_probe_is_taken_for_the_newest(self):
+        def script(connection, number):
+            time.sleep(0.05 if number == 1 else 0.0)
+            return probe_response(number)
+
+        session = self.session_to(script)
+        self.probe(session)
+        self.probe(session)
+        self.assertEqual(self.read(session).header(NAMES.load), "2")
+
+    def test_response_written_twice_is_taken_for_the_next_one(self):
+        def script(connection, number):
+            return Reply(content=probe_response(number).content * 2)
+
+        session = self.session_to(script)
+        self.probe(session)
+        self.assertEqual(self.read(session).header(NAMES.load), "1")
+        self.assertFalse(session.reusable)
+
+    def test_refusal_written_again_before_a_probe_response(self):
+        """A connection with a repeated refusal gets no further request."""
+
+        def script(connection, number):
+            if number == 1:
+                return response("own")
+            stray = response("own", body=b"again").content
+            return Reply(content=stray + probe_response(number).content)
+
+        session = self.session_to(script)
+        self.exchange(session)
+        self.probe(session)
+        self.assertEqual(self.read(session).header(NAMES.load), "2")
+        self.assertFalse(session.reusable)
+
+    def test_response_written_again_on_an_idle_connection(self):
+        """Bytes that stand unread before a probe close the connection."""
+
+        for delay_s in (0.0, 0.005, 0.05):
+            with self.subTest(delay_s=delay_s):
+                session = self.session_to(lambda c, n: response("own"))
+                self.exchange(session)
+                time.sleep(delay_s)
+                self.upstream.send_to_all(response("own", body=b"again").content)
+                self.wait_readable(session)
+                with self.assertRaises(SessionFailed):
+                    self.probe(session)
--- a/tests/entry/target_fixture.py
+++ b/tests/entry/target_fixture.py
@@ -41,6 +41,8 @@
         self.probed_at = []
         # Whether requests and probes get a response; connections are always accepted.
         self.responsive = True
+        # Number of the next probe responses that announce the close of the connection.
+        self.closing_probes = 0
         # Requests on connections up to this number get no response.
         self.unresponsive_connections = 0
         self._replies = replies or (lambda number, request: {})
@@ -101,12 +103,16 @@
 
     def _report(self, request):
         echo_id = header_of(request, self._names.request_id)
+        close = self.closing_probes > 0
+        self.closing_probes -= close
         return Reply(
+            close=close,
             content=(
                 f"HTTP/1.1 200 OK\r\n{self._names.request_id}: {echo_id}\r\n"
-                f"{self._names.instance}: {self.instance}\r\n"
+                + ("Connection: close\r\n" if close else "")
+                + f"{self._names.instance}: {self.instance}\r\n"
                 f"{self._names.load}: {self.load}\r\n"
                 + "".join(f"{line}\r\n" for line in self._limit_lines())
                 + "Content-Length: 0\r\n\r\n"
-            ).encode()
+            ).encode(),
         )
--- a/tests/entry/test_placed_relay.py
+++ b/tests/entry/test_placed_relay.py
@@ -163,6 +163,14 @@
         response = relay.handle(self.request("/book/1", method="POST"))
         self.assertEqual(response.status, 200)
 
+    def test_request_after_a_probe_response_that_closes_is_lost(self):
+        target = Target("i1")
+        target.closing_probes = 1
+        relay = self.relay_to(target)
+        response = relay.handle(self.request("/book/1", method="POST", body=b"x"))
+        self.assertEqual(response.status, 200)
+        self.assertEqual(len(target.executed), 1)
+
     def test_rejected_everywhere_is_not_run(self):
         targets = [
             Target(f"i{n}", replies=lambda n, r: targets[0].refuse()) for n in (1, 2)
