Close the connection on which an upstream has refused a request

What callers could see: 503, 'not run', for a request that its upstream had run. Two of three cases of the new tests gave it before: a refusal written once more 5 ms or 50 ms later, or together with the response, on a connection that then carried the same request, with the same id, again.

Cause: the id tells responses to different requests apart, not two sends of one. The search keeps one request from the same upstream, but a caller that returns with the same id may meet the same connection.

Change: a session is closed after a certified refusal, so a second copy has no connection to arrive on.

--- a/src/monsoonline/entry/attempts.py
+++ b/src/monsoonline/entry/attempts.py
@@ -11,6 +11,12 @@
 
 __all__ = ["Attempts"]
 
+# Results after which the session is not used again. A refusal that is written once more
+# has the id of its request, so it would pass for the response to a second send.
+CLOSING_KINDS = frozenset(
+    (AttemptKind.TIMED_OUT, AttemptKind.CONNECTION_LOST, AttemptKind.SHED)
+)
+
 logger = logging.getLogger(__name__)
 
 
@@ -124,7 +130,7 @@
         else:
             completed = kind in (AttemptKind.SUCCEEDED, AttemptKind.FAILED_RESPONSE)
             self._crashes.finished(state.address, task.fingerprint, completed=completed)
-        if kind in (AttemptKind.TIMED_OUT, AttemptKind.CONNECTION_LOST):
+        if kind in CLOSING_KINDS:
             attempt.session.close()
         else:
             self._sessions.check_in(attempt.session)
--- a/tests/adapters/scripted_upstream.py
+++ b/tests/adapters/scripted_upstream.py
@@ -17,10 +17,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Reply:
-    """Raw bytes to send and whether to close the connection afterwards."""
+    """Raw bytes to send, those to send later, and whether to close the connection.
+
+    :param later: bytes to send again after ``delay_s``, while the connection serves on
+    """
 
     content: bytes = OK
     close: bool = False
+    later: bytes = b""
+    delay_s: float = 0.0
 
 
 class ScriptedUpstream:
@@ -90,11 +95,20 @@
                 if isinstance(reply, bytes):
                     reply = Reply(content=reply)
                 connection.sendall(reply.content)
+                if reply.later:
+                    threading.Timer(
+                        reply.delay_s, self._send_late, (connection, reply.later)
+                    ).start()
                 if reply.close:
                     connection.close()
                     return
         self.ended.set()
 
+    @staticmethod
+    def _send_late(connection, content):
+        with contextlib.suppress(OSError):
+            connection.sendall(content)
+
     @staticmethod
     def _read_request(connection, rest):
         """Return the next request and the bytes after it.
--- a/tests/entry/target_fixture.py
+++ b/tests/entry/target_fixture.py
@@ -1,5 +1,6 @@
 """An upstream with a reported load and responses that a test defines."""
 
+import threading
 import time
 
 from monsoonline.core.header_names import HeaderNames
@@ -46,12 +47,18 @@
         # Requests on connections up to this number get no response.
         self.unresponsive_connections = 0
         self._replies = replies or (lambda number, request: {})
+        self._serving = threading.local()
         self._upstream = ScriptedUpstream(script=self._serve)
 
     @property
     def address(self):
         return self._upstream.address
 
+    @property
+    def connection(self):
+        """Number of the connection of the request that is being served."""
+        return self._serving.connection
+
     def make_connections_unresponsive(self):
         """Stop responding on the connections that are open now."""
         self.unresponsive_connections = self._upstream.connections
@@ -84,6 +91,7 @@
 
     def _serve(self, connection, number):
         request = self._upstream.last_request()
+        self._serving.connection = connection
         if connection <= self.unresponsive_connections or not self.responsive:
             return None
         if request.startswith(f"GET {HEALTH_PATH} ".encode()):
--- a/tests/entry/test_placed_relay.py
+++ b/tests/entry/test_placed_relay.py
@@ -163,6 +163,51 @@
         response = relay.handle(self.request("/book/1", method="POST"))
         self.assertEqual(response.status, 200)
 
+    def refusal_of(self, target, request):
+        """Return the bytes of a certified refusal of a raw request."""
+        echo_id = header_of(request, NAMES.request_id)
+        return f"{target.refuse()}{NAMES.request_id}: {echo_id}\r\n\r\n".encode()
+
+    def assert_repeated_refusal_is_ignored(self, script):
+        """Refuse a request, send it again with its id, and expect one response.
+
+        :param script: called with the target, the number of the request and its bytes
+        """
+        target = Target("i1", replies=lambda *request: script(target, *request))
+        relay = self.relay_to(target)
+        booking = self.request("/book/1", method="POST", body=b"x")
+        self.refused(relay, booking)
+        for _ in range(3):
+            self.assertEqual(relay.handle(booking).status, 200)
+        self.assertEqual(len(target.executed), 4)
+
+    def test_refusal_written_again_later_is_taken_for_the_resent_request(self):
+        for delay_s in (0.0, 0.005, 0.05):
+            with self.subTest(delay_s=delay_s):
+
+                def script(target, number, request, delay_s=delay_s):
+                    if number > 1:
+                        return target.respond(request, delay_ms=30.0)
+                    refusal = self.refusal_of(target, request)
+                    return Reply(content=refusal, later=refusal, delay_s=delay_s)
+
+                self.assert_repeated_refusal_is_ignored(script)
+
+    def test_refusal_written_again_with_the_response_of_the_resent_request(self):
+        refused_on = []
+
+        def script(target, number, request):
+            connection = target.connection
+            if number == 1:
+                refused_on.append(connection)
+                return Reply(content=self.refusal_of(target, request))
+            reply = target.respond(request)
+            if connection in refused_on:
+                return Reply(content=self.refusal_of(target, request) + reply.content)
+            return reply
+
+        self.assert_repeated_refusal_is_ignored(script)
+
     def test_request_after_a_probe_response_that_closes_is_lost(self):
         target = Target("i1")
         target.closing_probes = 1
