Do not reuse a connection of the product's protocol after a refusal

What callers could see: 503, 'not run', for a request that its upstream had run or was running, when the upstream wrote an earlier refusal once more.

Cause: the connection on which a refusal came went back to the pool, and the copy stood where the response to the next request was due.

Change: a connection is closed after a status that promises 'not run'.

Evidence: test_connection_of_a_refusal_is_reused failed for copies sent at once, after 5 ms and after 50 ms, and passes. Two scripts of tests/entry/test_relay.py counted the requests of a connection; they now count connections, since the second request comes on a new one. What the tests check is the same.

--- a/src/monsoonline/adapters/http_upstream.py
+++ b/src/monsoonline/adapters/http_upstream.py
@@ -12,6 +12,7 @@
     ConnectionPool,
 )
 from monsoonline.adapters.http_response import ResponseStream, read_response
+from monsoonline.core.response_classification import NOT_RUN_STATUSES
 
 __all__ = ["ExchangeFailed", "HttpUpstreamTransport"]
 
@@ -409,7 +410,9 @@
         reader.stop()
         if self.first_byte_ms is not None:
             self._pool.first_byte_timeout.observe(self.first_byte_ms)
-        return response, keep_alive and not stream.peek(1)
+        # A second copy of a refusal would pass for the refusal of the next request.
+        refused = response.status in NOT_RUN_STATUSES
+        return response, keep_alive and not refused and not stream.peek(1)
 
     def _failed(self, connection, error, *, cancelled, own_cause=None):
         return ExchangeFailed(
--- a/tests/adapters/test_http_upstream.py
+++ b/tests/adapters/test_http_upstream.py
@@ -2,6 +2,7 @@
 
 import http.client
 import threading
+import time
 import unittest
 
 from monsoonline.adapters.cancellation import Cancellation
@@ -157,6 +158,22 @@
         self.assertEqual(self.server.connections, 2)
         self.assertIn("closed-by-peer", self.events)
 
+    def test_connection_of_a_refusal_is_reused(self):
+        """A refusal written once more would refuse the next request falsely."""
+        refusal = OK.replace(b"200 OK", b"503 Busy")
+        for delay_s in (0.0, 0.005, 0.05):
+            with self.subTest(delay_s=delay_s):
+
+                def script(connection, number, delay_s=delay_s):
+                    if connection == 1 and number == 1:
+                        return Reply(content=refusal, later=refusal, delay_s=delay_s)
+                    time.sleep(0.06)
+                    return OK
+
+                self.start(script)
+                self.assertEqual(self.exchange().status, 503)
+                self.assertEqual(self.exchange(idempotent=False).status, 200)
+
     def test_timed_out_connection(self):
         self.start(lambda connection, _: None if connection == 1 else OK)
         self.assertTrue(self.fail_exchange(idempotent=False, within_ms=30.0).timed_out)
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -221,9 +221,12 @@
         self.assertIsNone(self.lookup().header("Monsoonline-Outcome"))
 
 
-def shed_once(_, request):
-    """Script of an upstream that has a free slot only for the second request."""
-    return SHED_503 if request == 1 else OK
+def shed_once(connection, _):
+    """Script of an upstream that has a free slot only for the second request.
+
+    The second request comes on a new connection, as a refusal closes the first one.
+    """
+    return SHED_503 if connection == 1 else OK
 
 
 class TestPlacements(RelayCase):
@@ -253,7 +256,7 @@
 
     def test_booking_that_may_have_run_is_not_placed_again(self):
         """A certificate applies to its own attempt, not to one that was lost later."""
-        self.start(lambda _, n: SHED_503 if n == 1 else TRUNCATED_200, lambda *_: OK)
+        self.start(lambda c, _: SHED_503 if c == 1 else TRUNCATED_200, lambda *_: OK)
         self.assert_refused(self.book(), 502, "unknown")
         self.assertEqual(self.request_counts(), [2, 0])
 
