Tell late copies of responses apart by an id of each send

What callers could see: the response to an earlier request of another caller, when an upstream wrote a second copy of it on a connection that was in use again.

Cause: the product's own protocol had nothing by which a response could be matched to its request. Bytes that stand unread before a send close the connection, but a copy that arrives after the send was taken for the response.

Change: each send has an id of its own in Monsoonline-Exchange-Id. A response that names another id is skipped, eight at most, and its connection is not used again. The stand-in repeats the id. Callers do not get the header.

Evidence: test_late_copy_of_a_response_is_taken_for_the_next_one failed before and passes.

--- a/src/monsoonline/adapters/http_upstream.py
+++ b/src/monsoonline/adapters/http_upstream.py
@@ -2,6 +2,8 @@
 
 import http.client
 import io
+import itertools
+import random
 import socket
 import threading
 
@@ -25,6 +27,13 @@
 # exchanges, so sending it cannot block.
 MAX_UNTIMED_SEND_BYTES = 8 << 10
 DEADLINE_HEADER = "Monsoonline-Deadline-Ms"
+# Differs for each send, also of the same request. An upstream that repeats it in its
+# response makes a late copy of an earlier response recognizable.
+EXCHANGE_HEADER = "Monsoonline-Exchange-Id"
+REPLACED_HEADERS = frozenset((DEADLINE_HEADER.lower(), EXCHANGE_HEADER.lower()))
+EXCHANGE_ID_PREFIX = f"{random.getrandbits(64):016x}"
+# Maximum number of responses to other exchanges that are skipped.
+MAX_STRAY_RESPONSES = 8
 CONNECTION_LIMIT = "connection-limit"
 DEADLINE_PASSED = "deadline"
 BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
@@ -149,19 +158,21 @@
     return ExchangeFailed(str(error), sent=sent, own_cause=own_cause)
 
 
-def encode_request(request, *, remaining_ms):
+def encode_request(request, *, remaining_ms, exchange_id):
     """Return the encoded bytes of a request.
 
     :param request: a :class:`monsoonline.types.Request` that the server has validated
     :param remaining_ms: time until the deadline, sent to the upstream
+    :param exchange_id: identifies this send
     """
     lines = [f"{request.method} {request.target} HTTP/1.1"]
     lines += [
         f"{name}: {value}"
         for name, value in request.headers
-        if name.lower() != "monsoonline-deadline-ms"
+        if name.lower() not in REPLACED_HEADERS
     ]
     lines.append(f"{DEADLINE_HEADER}: {remaining_ms:.0f}")
+    lines.append(f"{EXCHANGE_HEADER}: {exchange_id}")
     if request.body or request.method in BODY_METHODS:
         lines.append(f"Content-Length: {len(request.body)}")
     lines.append("\r\n")
@@ -333,10 +344,13 @@
     :param cancellation: the :class:`Cancellation` of the exchange
     """
 
+    _numbers = itertools.count(1)
+
     def __init__(self, *, pool, clock, request, cancellation):
         self._pool = pool
         self._clock = clock
         self._request = request
+        self._exchange_id = None
         self._cancellation = cancellation
         self._sent = False
         self.first_byte_ms = None
@@ -380,7 +394,10 @@
         remaining_ms = deadline - self._clock.now()
         if remaining_ms <= 0:
             raise TimeoutError("deadline passed")
-        content = encode_request(self._request, remaining_ms=remaining_ms)
+        self._exchange_id = f"{EXCHANGE_ID_PREFIX}-{next(self._numbers)}"
+        content = encode_request(
+            self._request, remaining_ms=remaining_ms, exchange_id=self._exchange_id
+        )
         self._sent = True
         self._send(connection, content, remaining_ms)
         reader = ExchangeReader(
@@ -404,15 +421,30 @@
     def _receive(self, reader):
         stream = ResponseStream(reader)
         try:
-            response, keep_alive = read_response(stream, method=self._request.method)
+            response, reusable = self._read_own_response(stream)
         finally:
             self.first_byte_ms = reader.first_byte_ms
         reader.stop()
         if self.first_byte_ms is not None:
             self._pool.first_byte_timeout.observe(self.first_byte_ms)
-        # A second copy of a refusal would pass for the refusal of the next request.
-        refused = response.status in NOT_RUN_STATUSES
-        return response, keep_alive and not refused and not stream.peek(1)
+        return response, reusable and not stream.peek(1)
+
+    def _read_own_response(self, stream):
+        """Return the response to this exchange and whether the connection is reusable.
+
+        Responses that name another exchange are skipped. The connection of a refusal is
+        not reused: a second copy of it would pass for the refusal of the next request.
+        """
+        reusable = True
+        for _ in range(MAX_STRAY_RESPONSES):
+            response, keep_alive = read_response(stream, method=self._request.method)
+            if response.header(EXCHANGE_HEADER) in (None, self._exchange_id):
+                refused = response.status in NOT_RUN_STATUSES
+                return response, reusable and keep_alive and not refused
+            reusable = False
+        raise http.client.HTTPException(
+            f"{MAX_STRAY_RESPONSES} responses to other exchanges"
+        )
 
     def _failed(self, connection, error, *, cancelled, own_cause=None):
         return ExchangeFailed(
--- a/src/monsoonline/entry/outcomes.py
+++ b/src/monsoonline/entry/outcomes.py
@@ -39,6 +39,7 @@
 PRIVATE_HEADERS = frozenset(
     (
         "monsoonline-draining",
+        "monsoonline-exchange-id",
         "monsoonline-load",
         "monsoonline-not-run",
         "monsoonline-outcome",
--- a/src/monsoonline/standin/upstream.py
+++ b/src/monsoonline/standin/upstream.py
@@ -20,6 +20,7 @@
 import orjson
 import pydantic
 
+from monsoonline.adapters.http_upstream import EXCHANGE_HEADER
 from monsoonline.clock import SystemClock
 
 __all__ = ["RunRecord", "UpstreamFaults", "UpstreamStandIn"]
@@ -142,6 +143,9 @@
         self.send_header("Content-Length", str(len(body)))
         for name, value in headers:
             self.send_header(name, value)
+        exchange_id = self.headers.get(EXCHANGE_HEADER)
+        if exchange_id is not None:
+            self.send_header(EXCHANGE_HEADER, exchange_id)
         self.end_headers()
         if self.command != "HEAD":
             self.wfile.write(body[: int(len(body) * sent_share)])
--- a/tests/adapters/test_http_upstream.py
+++ b/tests/adapters/test_http_upstream.py
@@ -11,7 +11,7 @@
 from monsoonline.clock import SystemClock
 from monsoonline.core.model import Pool, Tables, Upstream
 from monsoonline.types import Request
-from tests.adapters.scripted_upstream import OK, Reply, ScriptedUpstream
+from tests.adapters.scripted_upstream import OK, Reply, ScriptedUpstream, header_of
 
 DEADLINE_MS = 400.0
 LONG_DEADLINE_MS = 5000.0
@@ -174,6 +174,23 @@
                 self.assertEqual(self.exchange().status, 503)
                 self.assertEqual(self.exchange(idempotent=False).status, 200)
 
+    def test_late_copy_of_a_response_is_taken_for_the_next_one(self):
+        previous = []
+
+        def script(connection, number):
+            name = "Monsoonline-Exchange-Id"
+            own = header_of(self.server.last_request(), name)
+            response = OK.replace(b"OK\r\n", f"OK\r\n{name}: {own}\r\n".encode())
+            copies = b"".join(previous)
+            previous[:] = [response.replace(b"ok", b"no")]
+            return copies + response
+
+        self.start(script)
+        self.assertEqual(self.exchange().body, b"ok")
+        self.assertEqual(self.exchange(idempotent=False).body, b"ok")
+        self.exchange()
+        self.assertEqual(self.server.connections, 2)
+
     def test_timed_out_connection(self):
         self.start(lambda connection, _: None if connection == 1 else OK)
         self.assertTrue(self.fail_exchange(idempotent=False, within_ms=30.0).timed_out)
