Take the attempts of a hedged request in the order in which they ended

Cause: concurrent.futures.wait returns a set. When both attempts have ended before the request's task wakes up, their order is arbitrary, and 'the last one to end' may be the first.

Change: finished attempts are passed through a queue in the order in which they end.

The test seen red once now forces the order that it assumes: the hedge is shed only after the end of the first attempt was recorded. Its checks are the same.

--- a/src/monsoonline/entry/relay.py
+++ b/src/monsoonline/entry/relay.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import logging
+import queue
 import re
 
 from monsoonline.adapters.cancellation import Cancellation
@@ -339,12 +340,15 @@
         :returns: the first successful attempt, otherwise the last one to end
         """
         open_attempts = {}
+        # Futures in the order in which their attempts ended.
+        ended = queue.SimpleQueue()
 
         def start(target):
             future, cancellation = self._submit_attempt(
                 route, request, target, deadline
             )
             open_attempts[future] = (target.upstream.address, cancellation)
+            future.add_done_callback(ended.put)
 
         def hedge():
             target = self._acquire_without_waiting(
@@ -361,11 +365,13 @@
             start(assignment)
             delay_ms = self._dispatcher.hedge_delay_ms(route)
             for _ in range(route.tolerance.hedges):
-                if wait_for_first(open_attempts, timeout_ms=delay_ms):
+                if any_ends(open_attempts, within_ms=delay_ms):
                     break
                 if not self._dispatcher.may_hedge(route) or not hedge():
                     break
-            return self._first_success(route, open_attempts, deadline, history, hedge)
+            return self._first_success(
+                route, open_attempts, ended, deadline, history, hedge
+            )
         finally:
             for _, cancellation in open_attempts.values():
                 cancellation.cancel()
@@ -395,14 +401,15 @@
             self._dispatcher.expire(ticket)
         return ticket.assignment
 
-    def _first_success(self, route, open_attempts, deadline, history, hedge):
+    def _first_success(self, route, open_attempts, ended, deadline, history, hedge):
         """Return the first successful attempt, otherwise the last one to end.
 
         :param open_attempts: futures of the open attempts; those that end are removed
+        :param ended: queue of their futures in the order in which they ended
         :param hedge: starts one more attempt at a free upstream
         """
         while True:
-            for future in wait_for_first(open_attempts):
+            for future in take_all(ended):
                 address, _ = open_attempts.pop(future)
                 attempt = future.result()
                 history.record_end(attempt, address)
@@ -421,9 +428,19 @@
         return shed and self._clock.now() < deadline
 
 
-def wait_for_first(open_attempts, *, timeout_ms=None):
-    """Wait until an attempt ends; return the ended ones, an empty set on a timeout."""
-    timeout = None if timeout_ms is None else timeout_ms / 1e3
-    return concurrent.futures.wait(
-        open_attempts, timeout=timeout, return_when=concurrent.futures.FIRST_COMPLETED
-    ).done
+def any_ends(open_attempts, *, within_ms):
+    """Wait until an attempt ends; return whether one did in time."""
+    finished, _ = concurrent.futures.wait(
+        open_attempts,
+        timeout=within_ms / 1e3,
+        return_when=concurrent.futures.FIRST_COMPLETED,
+    )
+    return bool(finished)
+
+
+def take_all(items):
+    """Wait for an item of a queue; return it and those that have come meanwhile."""
+    taken = [items.get()]
+    while not items.empty():
+        taken.append(items.get())
+    return taken
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -30,6 +30,7 @@
     Upstream,
 )
 from monsoonline.core.retries import MAX_SHED_RETRIES
+from monsoonline.entry.outcomes import AttemptHistory
 from monsoonline.entry.relay import Relay, fingerprint_of
 from monsoonline.errors import Refusal
 from monsoonline.metrics import Metrics
@@ -621,25 +622,57 @@
         self.assertEqual(pool.queues.waiting, 0)
         self.assertEqual(self.request_counts(), [1])
 
-    def test_lost_first_attempt_is_unknown_when_the_hedge_is_shed_last(self):
-        """The certificate of the hedge says nothing about the first attempt."""
-        arrived = threading.Event()
+    def start_lost_first_and_shed_hedge(self, first_ended):
+        """Start an upstream that truncates its response, and one that then sheds.
+
+        :param first_ended: event that is set after the end of the first attempt
+        """
+        hedge_arrived = threading.Event()
 
         def truncate_after_hedge(*_):
-            arrived.wait(TIMEOUT_SECONDS)
+            hedge_arrived.wait(TIMEOUT_SECONDS)
             return TRUNCATED_200
 
         def shed_last(*_):
-            arrived.set()
-            limit = time.monotonic() + TIMEOUT_SECONDS
-            while not self.released and time.monotonic() < limit:
-                time.sleep(0.002)
+            hedge_arrived.set()
+            first_ended.wait(TIMEOUT_SECONDS)
             return CERTIFIED_503
 
         self.start(truncate_after_hedge, shed_last, hedges=1)
-        self.assert_refused(self.hedged_lookup(), 503, "unknown")
+
+    def test_lost_first_attempt_is_unknown_when_the_hedge_is_shed_last(self):
+        """The certificate of the hedge says nothing about the first attempt."""
+        first_ended = threading.Event()
+        record_end = AttemptHistory.record_end
+
+        def record(history, *arguments):
+            record_end(history, *arguments)
+            first_ended.set()
+
+        self.start_lost_first_and_shed_hedge(first_ended)
+        with mock.patch.object(AttemptHistory, "record_end", record):
+            self.assert_refused(self.hedged_lookup(), 503, "unknown")
         self.assertEqual(self.released, ["connection-lost", "shed"])
 
+    def test_attempts_that_end_together_are_taken_in_any_order(self):
+        """The outcome must be that of the last attempt to end."""
+        first_success = Relay._first_success
+
+        def wait_for_both(relay, route, open_attempts, ended, *arguments):
+            for count, event in ((1, first_ended), (2, threading.Event())):
+                limit = time.monotonic() + TIMEOUT_SECONDS
+                while ended.qsize() < count and time.monotonic() < limit:
+                    time.sleep(0.002)
+                event.set()
+            return first_success(relay, route, open_attempts, ended, *arguments)
+
+        with mock.patch.object(Relay, "_first_success", wait_for_both):
+            for number in range(8):
+                with self.subTest(number):
+                    first_ended = threading.Event()
+                    self.start_lost_first_and_shed_hedge(first_ended)
+                    self.assert_refused(self.hedged_lookup(), 503, "unknown")
+
     def test_booking_is_never_hedged(self):
         self.start(lambda *_: self.clock.sleep(60.0) or OK, lambda *_: OK, hedges=1)
         with mock.patch.object(self.dispatcher, "hedge_delay_ms", lambda route: 1.0):
