Use more of what limited upstreams accept

What callers saw: more refusals than needed.

Upstreams with a limit are probed only with a permit, so an old estimate of their slowdown kept them out although it had changed; and permits that nobody took while an upstream was slow for a moment were lost at a capacity of three.

Change: a request that finds no free slot elsewhere considers all limited upstreams; the probe that comes with the permit decides. An owner saves two permits and what the limit allows in 0.5 s.

Why the limit holds: an owner issues at most 4.5 L + 2 permits in 4 s, two owners that follow each other 5 L + 4 with an overlap of up to 1 s at rate L 6 L + 4; 6 L + 5 are allowed.

--- a/src/monsoonline/core/permits.py
+++ b/src/monsoonline/core/permits.py
@@ -24,10 +24,10 @@
     "permits_needed",
 ]
 
-# Permits that may be issued at one moment after a pause.
-MIN_CAPACITY = 3.0
-# Capacity for high limits, as the time in which the limit allows so many requests.
-CAPACITY_DURATION_MS = 100.0
+# Permits that may be issued at one moment after a pause: a number, and what the limit
+# allows in a time. Upstreams that share their machine are slow for about as long.
+BASE_CAPACITY = 2.0
+CAPACITY_DURATION_MS = 500.0
 # Share of the capacity that the least urgent requests leave to others. The rest keeps
 # permits from being lost while the next request is on its way.
 RESERVED_SHARE = 0.5
@@ -48,7 +48,7 @@
 
 def capacity_of(limit):
     """Return how many permits of a limit may be issued at one moment."""
-    return max(MIN_CAPACITY, limit * CAPACITY_DURATION_MS / 1e3)
+    return BASE_CAPACITY + limit * CAPACITY_DURATION_MS / 1e3
 
 
 def permits_needed(limit, rank):
@@ -228,7 +228,7 @@
     :param blocked_until: instant in ms before which the owner is not asked
     """
 
-    tokens: float = MIN_CAPACITY
+    tokens: float = BASE_CAPACITY
     as_of: float = float("-inf")
     blocked_until: float = float("-inf")
 
--- a/src/monsoonline/entry/placer.py
+++ b/src/monsoonline/entry/placer.py
@@ -95,9 +95,7 @@
             return self._place_without_load(task)
         placed = self._search_unlimited(task, slot_allowance)
         if not hedge and not self._has_free_slot(placed, slot_allowance):
-            limited = self._place_limited(
-                task, slot_allowance, self._slowdown_limit(task, placed, slot_allowance)
-            )
+            limited = self._place_limited(task, slot_allowance, math.inf)
         if limited is not None:
             if placed is not None:
                 self._sessions.check_in(placed.session)
@@ -180,16 +178,6 @@
     def _has_free_slot(placed, slot_allowance):
         return placed is not None and has_free_slot(placed.probe_result, slot_allowance)
 
-    def _slowdown_limit(self, task, placed, slot_allowance):
-        """Return the slowdown from which an upstream is no better than ``placed``.
-
-        :param placed: a :class:`monsoonline.entry.prober.ProbedUpstream` or ``None``
-        """
-        if placed is None:
-            return math.inf
-        work_ms = self._pools.work_of(task.route).value
-        return self._expected_ms(task, placed, slot_allowance) / work_ms
-
     def _allowed(self, task, states, best):
         """Return the upstreams that the probe budget allows to probe.
 
