Keep the limit while the owner of an upstream changes

Cause: the first version of the permits held for one hand-over between two entries. Five cases broke it: an owner that was paused issued what it had saved before and during the pause; an owner that took over for the second time still had the permits of the first time; an entry cut off from the owner alone took over while the owner served the others; on both sides of a partition owners issued the whole limit for 5 s; a requester that was paused between permit and send used the permit later.

Change: an entry reviews its buckets every 250 ms and drops those of upstreams that have another owner, and all of them if it could not review for 1.5 s. It takes over only if it has not heard of the owner, from anyone, for 2 s. Entries that it has not heard for 2 s reduce its share; any message of an entry counts as a sign of its failure domain. A permit is valid for 250 ms. The order of owners is kept until the members change: it was computed anew for each limited upstream every 250 ms.

An owner that ends without notice is replaced after 2 s instead of 0.1 s.

--- a/src/monsoonline/core/fleet.py
+++ b/src/monsoonline/core/fleet.py
@@ -11,8 +11,8 @@
 
 # A member without an update for this time is not returned to callers.
 LIVENESS_TIMEOUT_MS = 1_800.0
-# A failure domain without an update of a member for this time is out of contact.
-CONTACT_TIMEOUT_MS = 5_000.0
+# Entries and failure domains that were not heard of for this time are out of contact.
+CONTACT_TIMEOUT_MS = 2_000.0
 # A member without an update for this time is no longer sent messages.
 FORGET_TIMEOUT_MS = 60_000.0
 
@@ -55,15 +55,42 @@
         self._own = own
         self._members = {}
         self._updated_at = {}
+        # Time of the last message from each failure domain.
+        self._heard_at = {}
+        self._remaining = None
+        self._domains = None
 
     @property
     def own(self):
         """The :class:`FleetMember` of this entry."""
         return self._own
 
+    @property
+    def remaining(self):
+        """The members that are not leaving, by name.
+
+        This entry is included if it is not leaving. The dictionary is replaced, not
+        changed, when the members change.
+        """
+        if self._remaining is None:
+            members = (self._own, *self._members.values())
+            self._remaining = {m.name: m for m in members if not m.leaving}
+        return self._remaining
+
     def set_own(self, **changes):
         """Change fields of this entry's own member."""
         self._own = dataclasses.replace(self._own, **changes)
+        self._forget_derived()
+
+    def note_message(self, peer_address, now):
+        """Record that a message was received from a ``host:port``."""
+        if self._domains is None:
+            self._domains = {
+                m.peer_address: m.failure_domain for m in self._members.values()
+            }
+        domain = self._domains.get(peer_address)
+        if domain is not None:
+            self._heard_at[domain] = now
 
     def update(self, member, *, now, age_ms=0.0):
         """Apply an update about a member, unless a newer one is known.
@@ -77,7 +104,9 @@
         updated_at = now - age_ms
         if updated_at <= self._updated_at.get(member.name, float("-inf")):
             return
-        self._members[member.name] = member
+        if self._members.get(member.name) != member:
+            self._members[member.name] = member
+            self._forget_derived()
         self._updated_at[member.name] = updated_at
 
     def add_listed(self, member, *, now):
@@ -85,6 +114,7 @@
         if member.name == self._own.name or member.name in self._members:
             return
         self._members[member.name] = member
+        self._forget_derived()
         self._updated_at[member.name] = now - LIVENESS_TIMEOUT_MS
 
     def forget_unresponsive(self, now):
@@ -92,6 +122,7 @@
         for name, updated_at in list(self._updated_at.items()):
             if now - updated_at > FORGET_TIMEOUT_MS:
                 del self._members[name], self._updated_at[name]
+                self._forget_derived()
 
     def others(self):
         """Return all other members that are known, live or not."""
@@ -105,20 +136,32 @@
             if now - self._updated_at[name] < LIVENESS_TIMEOUT_MS
         )
 
+    def is_heard_of(self, name, now):
+        """Return whether a member, or another one on its behalf, was heard lately."""
+        updated_at = self._updated_at.get(name, float("-inf"))
+        return now - updated_at < CONTACT_TIMEOUT_MS
+
     def contact_share(self, now):
-        """Return the share of the known entries that this entry is in contact with.
+        """Return the share of the remaining entries that this entry is in contact with.
 
-        A failure domain counts whole while any of its members is heard, because the
-        members of remote domains are rarely heard one by one.
+        A remote failure domain counts whole while any of its entries is heard, because
+        its members are rarely heard one by one.
         """
-        remaining = [m for m in self.others() if not m.leaving]
-        heard = {
-            member.failure_domain
-            for member in remaining
-            if now - self._updated_at.get(member.name, 0.0) < CONTACT_TIMEOUT_MS
-        }
-        in_contact = sum(member.failure_domain in heard for member in remaining)
-        return (1 + in_contact) / (1 + len(remaining))
+        others = [m for m in self.remaining.values() if m.name != self._own.name]
+        in_contact = sum(self._is_in_contact(member, now) for member in others)
+        return (1 + in_contact) / (1 + len(others))
+
+    def _forget_derived(self):
+        """Forget what is derived from the members, after they have changed."""
+        self._remaining = None
+        self._domains = None
+
+    def _is_in_contact(self, member, now):
+        if self.is_heard_of(member.name, now):
+            return True
+        remote = member.failure_domain != self._own.failure_domain
+        heard_at = self._heard_at.get(member.failure_domain, float("-inf"))
+        return remote and now - heard_at < CONTACT_TIMEOUT_MS
 
     def ages(self, now, *, failure_domain):
         """Return the :class:`MemberAge` of each live member of one failure domain."""
--- a/src/monsoonline/core/permits.py
+++ b/src/monsoonline/core/permits.py
@@ -205,10 +205,18 @@
         if bucket is not None:
             bucket.put_back()
 
+    def upstreams(self):
+        """Return the keys of the upstreams that have a bucket."""
+        return tuple(self._buckets)
+
     def forget(self, upstream):
         """Drop the bucket of an upstream that has no limit or another owner."""
         self._buckets.pop(upstream, None)
 
+    def forget_all(self):
+        """Drop all buckets, after a time in which others may have issued permits."""
+        self._buckets.clear()
+
     def _drop_unused(self, now):
         self._buckets = {
             key: bucket
--- a/src/monsoonline/entry/fleet_link.py
+++ b/src/monsoonline/entry/fleet_link.py
@@ -272,6 +272,8 @@
                 self._metrics.count("fleet_messages_rejected_total")
                 logger.debug("message rejected", extra={"error": str(error)})
                 continue
+            host, port = address
+            self._fleet.note_message(f"{host}:{port}", self._clock.now())
             response = self._handle_message(message)
             if response is not None:
                 self._send_to(address, encode_datagram(response))
--- a/src/monsoonline/entry/permits.py
+++ b/src/monsoonline/entry/permits.py
@@ -22,6 +22,10 @@
 REPLY_TIMEOUT_MS = 30.0
 # Time for which no permit of an upstream is requested after its owner did not reply.
 UNANSWERED_PAUSE_MS = 100.0
+# Age at which a permit is no longer used, for example after the process was paused.
+PERMIT_LIFETIME_MS = 250.0
+# Interval without a review of the buckets after which others may have taken over.
+MAX_REVIEW_INTERVAL_MS = 1_500.0
 # Entries in the order of owners; further ones take over only if all of these are gone.
 OWNER_CANDIDATES = 4
 # An owner that has not read an upstream's limit for this time reads it with a probe,
@@ -55,22 +59,29 @@
         # A late reply to an earlier process of this entry must not match.
         self._numbers = itertools.count(random.getrandbits(FIRST_NUMBER_BITS))
         self._replies = {}
+        # The members and, by upstream, the entries in the order of ownership.
+        self._ordered_members = None
+        self._orders = {}
+        self._reviewed_at = clock.now()
 
     def acquire(self, state, rank):
-        """Return whether one request may be sent to a limited upstream now.
+        """Request a permit to send one request to a limited upstream.
 
         :param state: the upstream's state
         :param rank: number of more urgent priorities in the pool
+        :returns: instant in ms until which the request may be sent, ``None`` without a
+            permit
         """
         observation = state.limit.observation
         if observation.limit is None:
-            return False
+            return None
+        asked_at = self._clock.now()
         request = PermitRequest(
             number=next(self._numbers),
             instance=state.registration.instance,
             born_ms=state.registration.born_ms,
             rank=rank,
-            observed=LimitAge.of(observation, self._clock.now()),
+            observed=LimitAge.of(observation, asked_at),
         )
         owner = self._owner(request.instance)
         own = owner is self._fleet.own
@@ -79,7 +90,7 @@
         if reply is None:
             state.permits.blocked_until = now + UNANSWERED_PAUSE_MS
             self._metrics.count("permits_total", result="unanswered")
-            return False
+            return None
         self._limits.apply(state, reply.observed.at(now))
         if reply.result is PermitResult.NOT_OWNER:
             state.permits.blocked_until = now + UNANSWERED_PAUSE_MS
@@ -87,7 +98,9 @@
             state.permits.as_of = now
             state.permits.tokens = reply.tokens
         self._metrics.count("permits_total", result=reply.result.name.lower())
-        return reply.result is PermitResult.ISSUED
+        if reply.result is not PermitResult.ISSUED:
+            return None
+        return asked_at + PERMIT_LIFETIME_MS
 
     def give_back(self, state):
         """Return an issued permit that is not used.
@@ -111,6 +124,8 @@
         :param request: :class:`monsoonline.core.fleet_messages.PermitRequest`
         """
         now = self._clock.now()
+        if now - self._reviewed_at > MAX_REVIEW_INTERVAL_MS:
+            self.review()
         observed = request.observed
         key = (request.instance, request.born_ms)
         if self._owner(request.instance, confirm=True) is not self._fleet.own:
@@ -155,6 +170,21 @@
         with self._lock:
             self._issuer.take_back((message.instance, message.born_ms))
 
+    def review(self):
+        """Drop the buckets of upstreams that have, or may have had, another owner."""
+        now = self._clock.now()
+        paused = now - self._reviewed_at > MAX_REVIEW_INTERVAL_MS
+        self._reviewed_at = now
+        with self._lock:
+            if paused:
+                self._issuer.forget_all()
+            upstreams = self._issuer.upstreams()
+        for key in upstreams:
+            instance, _ = key
+            if self._owner(instance, confirm=True) is not self._fleet.own:
+                with self._lock:
+                    self._issuer.forget(key)
+
     def handle_reply(self, reply):
         """Pass a reply to the task that waits for it; late ones are dropped."""
         waiting = self._replies.get(reply.number)
@@ -202,20 +232,31 @@
     def _owner(self, instance, *, confirm=False):
         """Return the :class:`FleetMember` that issues permits of an upstream.
 
-        :param confirm: whether entries before this one in the order are checked, also
-            those that are not known to be silent
+        :param confirm: whether this entry may act as the owner only if the entries
+            before it in the order respond neither to it nor, as far as is known, to
+            others
         """
-        own = self._fleet.own
-        members = {m.name: m for m in self._fleet.others() if not m.leaving}
-        if not own.leaving or not members:
-            members[own.name] = own
-        candidates = owner_order(instance, members, OWNER_CANDIDATES)
-        for name in candidates:
-            if name == own.name:
+        own, now = self._fleet.own, self._clock.now()
+        candidates = self._candidates(instance)
+        for member in candidates:
+            if member.name == own.name:
                 return own
-            contact = self._contacts[name]
-            if (confirm or contact.silent) and contact.start_check(self._clock.now()):
-                self._send(members[name], OwnerCheck(sender=own.name))
-            if not contact.silent:
-                return members[name]
-        return members[candidates[0]]
+            contact = self._contacts[member.name]
+            if (confirm or contact.silent) and contact.start_check(now):
+                self._send(member, OwnerCheck(sender=own.name))
+            heard_of = confirm and self._fleet.is_heard_of(member.name, now)
+            if heard_of or not contact.silent:
+                return member
+        return candidates[0]
+
+    def _candidates(self, instance):
+        """Return the entries that may own an upstream, the owner first."""
+        members = self._fleet.remaining or {self._fleet.own.name: self._fleet.own}
+        if members is not self._ordered_members:
+            self._ordered_members, self._orders = members, {}
+        orders = self._orders
+        order = orders.get(instance)
+        if order is None:
+            names = owner_order(instance, members, OWNER_CANDIDATES)
+            order = orders[instance] = [members[name] for name in names]
+        return order
--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -208,11 +208,16 @@
         return self._permits
 
     def refresh_limits(self):
-        """Read the limits of this entry's own upstreams that were not read lately."""
+        """Read the limits of this entry's own upstreams that were not read lately.
+
+        Also ends the ownership of upstreams that have another owner.
+        """
+        self._permits.review()
         for served in self._pools.served():
             for state in served.view.limited():
                 if self._permits.needs_refresh(state):
                     self._placer.probe(served, state)
+                    self._permits.review()
 
     def handle(self, request):
         """Serve one request and return the response for its caller.
--- a/src/monsoonline/entry/placer.py
+++ b/src/monsoonline/entry/placer.py
@@ -118,9 +118,15 @@
             and state.permits.allows(now, limit=state.limit.value or 0.0, rank=rank)
         ]
         for state in promising[:MAX_PERMIT_REQUESTS]:
-            if not self._permits.acquire(state, rank):
+            expires_at = self._permits.acquire(state, rank)
+            if expires_at is None:
                 continue
             placed = self._probe_permitted(task, state, slot_allowance)
+            if self._clock.now() >= expires_at:
+                # Its owner, or another one, may have issued others since.
+                if placed is not None:
+                    self._sessions.check_in(placed.session)
+                return None
             if placed is not None:
                 task.pool.overload_detector.record_search(True)
                 return placed
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -3,6 +3,7 @@
 import unittest
 
 from monsoonline.core.fleet import (
+    CONTACT_TIMEOUT_MS,
     FORGET_TIMEOUT_MS,
     LIVENESS_TIMEOUT_MS,
     Fleet,
@@ -54,3 +55,41 @@
         self.fleet.update(member("b"), now=1_000.0, age_ms=200.0)
         (age,) = self.fleet.ages(1_300.0, failure_domain="a")
         self.assertEqual(age.age_ms, 500.0)
+
+
+class TestContactShare(unittest.TestCase):
+    """An entry issues permits in proportion to the entries that it hears of."""
+
+    def setUp(self):
+        self.fleet = Fleet(own=member("own"))
+        self.fleet.update(member("b"), now=0.0)
+        for number in range(2):
+            remote = member(
+                f"c{number}", failure_domain="c", peer_address=f"10.0.1.{number}:90"
+            )
+            self.fleet.update(remote, now=0.0)
+        self.later = CONTACT_TIMEOUT_MS + 1.0
+
+    def test_entry_that_hears_no_other_counts_itself(self):
+        self.assertEqual(self.fleet.contact_share(0.0), 1.0)
+        self.assertEqual(self.fleet.contact_share(self.later), 1 / 4)
+
+    def test_message_of_one_entry_counts_for_its_remote_domain(self):
+        self.fleet.note_message("10.0.1.1:90", self.later)
+        self.assertEqual(self.fleet.contact_share(self.later), 3 / 4)
+
+    def test_message_of_a_local_entry_counts_for_no_other(self):
+        self.fleet.update(member("b2", peer_address="10.0.0.2:90"), now=0.0)
+        self.fleet.note_message("10.0.0.2:90", self.later)
+        self.assertEqual(self.fleet.contact_share(self.later), 1 / 5)
+
+    def test_leaving_entries_do_not_count(self):
+        self.fleet.update(member("b", leaving=True), now=self.later)
+        self.fleet.set_own(leaving=True)
+        self.assertEqual(set(self.fleet.remaining), {"c0", "c1"})
+        self.assertEqual(self.fleet.contact_share(self.later), 1 / 3)
+
+    def test_last_entry_issues_the_whole_limit_while_it_stops(self):
+        fleet = Fleet(own=member("own"))
+        fleet.set_own(leaving=True)
+        self.assertEqual(fleet.contact_share(0.0), 1.0)
--- a/tests/entry/test_placed_relay.py
+++ b/tests/entry/test_placed_relay.py
@@ -440,6 +440,29 @@
         self.assertEqual(refusal.outcome, Outcome.NOT_RUN)
 
 
+class TestPermits(RelayTest):
+    """Requests to an upstream with a limit are sent only with a valid permit."""
+
+    def test_permit_held_through_a_pause_is_used(self):
+        """Its owner, or another one, may have issued others since."""
+        target = Target("i1")
+        target.limit = "50"
+        relay = self.relay_to(target)
+        # The first permit is issued 20 ms after the owner has learned of the limit.
+        self.refused(relay, self.request())
+        time.sleep(0.05)
+        acquire = relay.permits.acquire
+
+        def acquire_and_pause(*arguments):
+            return acquire(*arguments) and time.monotonic() * 1e3 - 1.0
+
+        with mock.patch.object(relay.permits, "acquire", acquire_and_pause):
+            self.assertEqual(self.refused(relay, self.request()).code, "limited")
+        self.assertEqual(target.executed, [])
+        time.sleep(0.05)
+        self.assertEqual(relay.handle(self.request()).status, 200)
+
+
 class TestCallers(RelayTest):
     """A caller that closes its connection stops idempotent requests only."""
 
