Bound the time and the memory that a response without end can take

What callers could see: an entry that stands still or is ended for its memory while one faulty upstream sends chunks of one byte. Reported by the users: bytes that are no answer may come without end, in a head or a body.

Cause: one class of fault, a bound on each part of a response but none on the sum.

Change: reading ends 50 ms after the deadline, although bytes are waiting. Chunked bodies are collected in one buffer, from 131,072 chunks at most. Probe responses may have 64 KiB. At most eight stray responses are read before a probe.

--- a/src/monsoonline/adapters/http_response.py
+++ b/src/monsoonline/adapters/http_response.py
@@ -20,6 +20,9 @@
 MAX_RESPONSE_BYTES = 8 << 20
 MAX_HEADER_BYTES = 64 << 10
 MAX_INTERIM_RESPONSES = 8
+# Each chunk costs time to parse, however small it is.
+MAX_CHUNKS = 1 << 17
+READ_SIZE_BYTES = 64 << 10
 NO_BODY_STATUSES = frozenset((204, 304))
 SWITCHING_PROTOCOLS = 101
 HEADER_LINE = re.compile(
@@ -184,27 +187,33 @@
     keep_alive_timeout_ms: float | None
 
 
-def read_framed_response(stream, *, method, allow_close_delimited=False):
+def read_framed_response(
+    stream, *, method, allow_close_delimited=False, max_bytes=MAX_RESPONSE_BYTES
+):
     """Read one complete response.
 
     :param stream: the :class:`ResponseStream` of the exchange
     :param method: method of the request
     :param allow_close_delimited: whether the end of the connection may mark the end of
         a response without a length
+    :param max_bytes: largest body to accept
     :returns: a :class:`FramedResponse`
     :raises http.client.HTTPException: when the framing is invalid, or the response is
-        truncated or exceeds ``MAX_RESPONSE_BYTES``
+        truncated or has more than ``max_bytes``
     """
     parser = StrictResponse(
         stream, method=method, allow_close_delimited=allow_close_delimited
     )
     parser.begin()
-    if (parser.length or 0) > MAX_RESPONSE_BYTES:
-        raise FramingError(f"the response is larger than {MAX_RESPONSE_BYTES} bytes")
-    body = parser.read(MAX_RESPONSE_BYTES + 1)
-    if len(body) > MAX_RESPONSE_BYTES:
-        raise FramingError(f"the response is larger than {MAX_RESPONSE_BYTES} bytes")
-    if parser.close_delimited and len(body) <= MAX_RESPONSE_BYTES:
+    if (parser.length or 0) > max_bytes:
+        raise too_large(max_bytes)
+    if parser.chunked:
+        body = read_chunked_body(parser, max_bytes)
+    else:
+        body = parser.read(max_bytes + 1)
+    if len(body) > max_bytes:
+        raise too_large(max_bytes)
+    if parser.close_delimited:
         # Only another read distinguishes the end of the connection from a pause.
         body += parser.read(1)
     if not parser.isclosed():
@@ -224,6 +233,26 @@
     )
 
 
+def read_chunked_body(parser, max_bytes):
+    """Return the body of a chunked response, slightly more than ``max_bytes`` at most.
+
+    ``HTTPResponse.read`` keeps an object for each chunk, many times the size of the
+    body if the chunks are small.
+    """
+    body = bytearray()
+    for _ in range(MAX_CHUNKS):
+        part = parser.read1(READ_SIZE_BYTES)
+        body += part
+        if not part or len(body) > max_bytes:
+            return bytes(body)
+    raise FramingError(f"the response has more than {MAX_CHUNKS} chunks")
+
+
+def too_large(max_bytes):
+    """Return the error of a response with too large a body."""
+    return FramingError(f"the response is larger than {max_bytes} bytes")
+
+
 def read_response(stream, *, method):
     """Read one complete response, which must state its length.
 
--- a/src/monsoonline/adapters/http_upstream.py
+++ b/src/monsoonline/adapters/http_upstream.py
@@ -14,6 +14,7 @@
     ConnectionPool,
 )
 from monsoonline.adapters.http_response import ResponseStream, read_response
+from monsoonline.adapters.receive_budget import ReceiveBudget
 from monsoonline.core.response_classification import NOT_RUN_STATUSES
 
 __all__ = ["ExchangeFailed", "HttpUpstreamTransport"]
@@ -103,11 +104,21 @@
     :param deadline: clock time in ms
     :param first_byte_timeout_ms: maximum wait for the first byte, ``None`` to wait
         until the deadline
+    :param received: :class:`monsoonline.adapters.receive_budget.ReceivedBytes` of the
+        exchange
     """
 
     def __init__(
-        self, *, upstream, cancellation, clock, deadline, first_byte_timeout_ms
+        self,
+        *,
+        upstream,
+        cancellation,
+        clock,
+        deadline,
+        first_byte_timeout_ms,
+        received,
     ):
+        self._received = received
         self._upstream = upstream
         self._cancellation = cancellation
         self._clock = clock
@@ -133,6 +144,7 @@
         if self.first_byte_ms is None and self._first_byte_timeout_ms is not None:
             wait_ms = min(wait_ms, self._first_byte_timeout_ms)
         size = self._receive(buffer, wait_ms)
+        self._received.add(size)
         if self.first_byte_ms is None and size:
             self.first_byte_ms = self._clock.now() - self._started
         return size
@@ -187,6 +199,7 @@
     """
 
     def __init__(self, *, clock, count=lambda event: None):
+        self._budget = ReceiveBudget()
         self._clock = clock
         self._count = count
         self._pools = {}
@@ -270,7 +283,11 @@
         cancellation = cancellation or Cancellation()
         connection = self._checkout(pool, idempotent=idempotent)
         exchange = Exchange(
-            pool=pool, clock=self._clock, request=request, cancellation=cancellation
+            pool=pool,
+            clock=self._clock,
+            request=request,
+            cancellation=cancellation,
+            budget=self._budget,
         )
         if not idempotent or connection.sock is None:
             return exchange.run(connection, deadline=deadline)
@@ -342,11 +359,13 @@
     :param clock: source of time
     :param request: the :class:`monsoonline.types.Request`
     :param cancellation: the :class:`Cancellation` of the exchange
+    :param budget: :class:`monsoonline.adapters.receive_budget.ReceiveBudget`
     """
 
     _numbers = itertools.count(1)
 
-    def __init__(self, *, pool, clock, request, cancellation):
+    def __init__(self, *, pool, clock, request, cancellation, budget):
+        self._received = budget.open()
         self._pool = pool
         self._clock = clock
         self._request = request
@@ -406,6 +425,7 @@
             clock=self._clock,
             deadline=deadline,
             first_byte_timeout_ms=first_byte_timeout_ms,
+            received=self._received,
         )
         return self._receive(reader)
 
@@ -423,6 +443,7 @@
         try:
             response, reusable = self._read_own_response(stream)
         finally:
+            self._received.reset()
             self.first_byte_ms = reader.first_byte_ms
         reader.stop()
         if self.first_byte_ms is not None:
--- a/src/monsoonline/adapters/upstream_sessions.py
+++ b/src/monsoonline/adapters/upstream_sessions.py
@@ -12,7 +12,12 @@
 import socket
 import threading
 
-from monsoonline.adapters.http_response import ResponseStream, read_framed_response
+from monsoonline.adapters.http_response import (
+    MAX_RESPONSE_BYTES,
+    ResponseStream,
+    read_framed_response,
+)
+from monsoonline.adapters.receive_budget import ReceiveBudget
 
 __all__ = ["Probe", "SessionFailed", "SessionPool", "UpstreamSession"]
 
@@ -26,6 +31,9 @@
 # belong to earlier probes or match no request.
 MAX_STRAY_RESPONSES = 8
 MAX_IDLE_SESSIONS = 4
+# Time after the deadline in which bytes that have arrived are still read.
+READ_OVERTIME_MS = 50.0
+MAX_PROBE_RESPONSE_BYTES = 64 << 10
 # Longest wait for the rest of a response that has begun to arrive before a probe.
 DRAIN_TIMEOUT_MS = 5.0
 BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
@@ -83,12 +91,17 @@
 class SessionReader(io.RawIOBase):
     """Reads from a non-blocking socket until :attr:`deadline`.
 
+    A peer that sends without end is read only shortly beyond it.
+
     :param connection: the socket
     :param clock: source of time
+    :param received: :class:`monsoonline.adapters.receive_budget.ReceivedBytes` of the
+        session
     """
 
-    def __init__(self, *, connection, clock):
+    def __init__(self, *, connection, clock, received):
         self._connection = connection
+        self._received = received
         self._clock = clock
         self._poller = select.poll()
         self._poller.register(connection, READ_EVENTS)
@@ -105,10 +118,14 @@
         if self.buffer_only:
             return None
         while True:
+            wait_ms = self.deadline - self._clock.now()
+            if wait_ms <= -READ_OVERTIME_MS:
+                raise TimeoutError("no complete response within the time limit")
             try:
-                return self._connection.recv_into(buffer)
+                size = self._connection.recv_into(buffer)
+                self._received.add(size)
+                return size
             except BlockingIOError:
-                wait_ms = self.deadline - self._clock.now()
                 if wait_ms <= 0 or not self._poller.poll(max(1.0, wait_ms)):
                     raise TimeoutError("no response within the time limit") from None
 
@@ -119,11 +136,13 @@
     :param address: ``host:port`` with an IP address
     :param clock: source of time
     :param names: :class:`monsoonline.core.header_names.HeaderNames`
+    :param budget: :class:`monsoonline.adapters.receive_budget.ReceiveBudget`
     """
 
     _probe_numbers = itertools.count(1)
 
-    def __init__(self, *, address, clock, names):
+    def __init__(self, *, address, clock, names, budget):
+        self._received = budget.open()
         self._address = address
         self._clock = clock
         self._names = names
@@ -187,7 +206,9 @@
         error = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
             raise SessionFailed(f"{self._address}: connect error {error}", sent=False)
-        self._reader = SessionReader(connection=self._socket, clock=self._clock)
+        self._reader = SessionReader(
+            connection=self._socket, clock=self._clock, received=self._received
+        )
         self._stream = ResponseStream(self._reader)
 
     def send_probe(self, probe):
@@ -210,7 +231,7 @@
         :raises SessionFailed: when none was received by the deadline
         """
         for _ in range(MAX_STRAY_RESPONSES):
-            response = self._read_one("GET", deadline)
+            response = self._read_probe_response(deadline)
             self._match_probe(response)
             if not self._unread_probe_ids:
                 if self._has_unread_bytes():
@@ -279,16 +300,24 @@
         except OSError as error:
             raise self._failed(error) from error
 
-    def _read_one(self, method, deadline):
+    def _read_probe_response(self, deadline):
+        return self._read_one("GET", deadline, max_bytes=MAX_PROBE_RESPONSE_BYTES)
+
+    def _read_one(self, method, deadline, *, max_bytes=MAX_RESPONSE_BYTES):
         if self._socket is None:
             raise SessionFailed(f"{self._address}: the session is closed", sent=True)
         self._reader.deadline = deadline
         try:
             framed = read_framed_response(
-                self._stream, method=method, allow_close_delimited=True
+                self._stream,
+                method=method,
+                allow_close_delimited=True,
+                max_bytes=max_bytes,
             )
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise self._failed(error) from error
+        finally:
+            self._received.reset()
         if not framed.keep_alive:
             self._close_after_use = True
         if framed.keep_alive_timeout_ms is not None:
@@ -318,9 +347,11 @@
 
         :raises SessionFailed: when other bytes have arrived
         """
-        while self._unread_probe_ids and self._has_unread_bytes():
-            response = self._read_one("GET", self._clock.now() + DRAIN_TIMEOUT_MS)
-            self._match_probe(response)
+        for _ in range(MAX_STRAY_RESPONSES):
+            if not self._unread_probe_ids or not self._has_unread_bytes():
+                break
+            deadline = self._clock.now() + DRAIN_TIMEOUT_MS
+            self._match_probe(self._read_probe_response(deadline))
         if self._close_after_use or self._has_unread_bytes():
             raise SessionFailed(
                 f"{self._address}: the connection holds unexpected bytes", sent=False
@@ -359,9 +390,12 @@
 
     :param clock: source of time
     :param names: :class:`monsoonline.core.header_names.HeaderNames`
+    :param budget: :class:`monsoonline.adapters.receive_budget.ReceiveBudget` of all
+        sessions, one with the default limit when omitted
     """
 
-    def __init__(self, *, clock, names):
+    def __init__(self, *, clock, names, budget=None):
+        self._budget = budget or ReceiveBudget()
         self._clock = clock
         self._names = names
         self._idle = collections.defaultdict(collections.deque)
@@ -385,7 +419,12 @@
 
     def open_new(self, address):
         """Create a session that is not connected."""
-        return UpstreamSession(address=address, clock=self._clock, names=self._names)
+        return UpstreamSession(
+            address=address,
+            clock=self._clock,
+            names=self._names,
+            budget=self._budget,
+        )
 
     def check_in(self, session):
         """Return a session to the pool, or close it if it cannot be reused."""
--- a/tests/adapters/scripted_upstream.py
+++ b/tests/adapters/scripted_upstream.py
@@ -5,6 +5,7 @@
 import re
 import socket
 import threading
+import time
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -20,12 +21,16 @@
     """Raw bytes to send, those to send later, and whether to close the connection.
 
     :param later: bytes to send again after ``delay_s``, while the connection serves on
+    :param endless: bytes to send again and again, until the peer closes the connection
+    :param interval_s: pause between these sends
     """
 
     content: bytes = OK
     close: bool = False
     later: bytes = b""
     delay_s: float = 0.0
+    endless: bytes = b""
+    interval_s: float = 0.0
 
 
 class ScriptedUpstream:
@@ -43,6 +48,8 @@
         self.requests = []
         self._serving = threading.local()
         self.ended = threading.Event()
+        # Bytes of endless replies that the peer, or its buffers, took.
+        self.endless_bytes = 0
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
@@ -80,8 +87,8 @@
                 ).start()
 
     def _serve(self, connection, number):
+        count, rest = 0, b""
         with contextlib.suppress(OSError):
-            count, rest = 0, b""
             while True:
                 request, rest = self._read_request(connection, rest)
                 if not request:
@@ -99,11 +106,19 @@
                     threading.Timer(
                         reply.delay_s, self._send_late, (connection, reply.later)
                     ).start()
+                if reply.endless:
+                    self._send_endlessly(connection, reply)
                 if reply.close:
                     connection.close()
                     return
         self.ended.set()
 
+    def _send_endlessly(self, connection, reply):
+        while True:
+            connection.sendall(reply.endless)
+            self.endless_bytes += len(reply.endless)
+            time.sleep(reply.interval_s)
+
     @staticmethod
     def _send_late(connection, content):
         with contextlib.suppress(OSError):
--- a/tests/adapters/test_http_upstream.py
+++ b/tests/adapters/test_http_upstream.py
@@ -11,6 +11,7 @@
 from monsoonline.clock import SystemClock
 from monsoonline.core.model import Pool, Tables, Upstream
 from monsoonline.types import Request
+from tests.adapters.endless_replies import ENDLESS_REPLIES
 from tests.adapters.scripted_upstream import OK, Reply, ScriptedUpstream, header_of
 
 DEADLINE_MS = 400.0
@@ -91,6 +92,22 @@
                     self.transport.connections(self.upstream.address).open, 0
                 )
 
+    def test_response_without_end_is_read_on(self):
+        other = OK.replace(b"OK\r\n", b"OK\r\nMonsoonline-Exchange-Id: other\r\n")
+        others = {"responses to others": Reply(content=b"", endless=other * 64)}
+        for name, reply in (ENDLESS_REPLIES | others).items():
+            with self.subTest(name):
+                self.start(lambda *_, reply=reply: reply)
+                # Reading ends at the deadline, or when the size limit is reached.
+                started = time.monotonic()
+                error = self.fail_exchange(idempotent=False, within_ms=1_500.0)
+                self.assertLess(time.monotonic() - started, 2.5)
+                self.assertTrue(error.sent)
+                self.assertEqual(
+                    self.transport.connections(self.upstream.address).open, 0
+                )
+                self.assertTrue(self.server.ended.wait(5.0))
+
     def test_complete_responses(self):
         cases = {
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/adapters/test_upstream_sessions.py
+++ b/tests/adapters/test_upstream_sessions.py
@@ -1,13 +1,18 @@
 """Tests of upstream sessions over sockets."""
 
 import select
+import threading
 import time
+import tracemalloc
 import unittest
 
+from monsoonline.adapters.http_response import MAX_RESPONSE_BYTES
+from monsoonline.adapters.receive_budget import ReceiveBudget
 from monsoonline.adapters.upstream_sessions import Probe, SessionFailed, SessionPool
 from monsoonline.clock import SystemClock
 from monsoonline.core.header_names import HeaderNames
 from monsoonline.types import Request
+from tests.adapters.endless_replies import ENDLESS_REPLIES, HEAD
 from tests.adapters.scripted_upstream import Reply, ScriptedUpstream, header_of
 
 NAMES = HeaderNames()
@@ -25,13 +30,17 @@
 class SessionTest(unittest.TestCase):
     """Base class with a session to a scripted upstream."""
 
-    def session_to(self, script):
+    def session_to(self, script, *, budget=None):
         self.upstream = ScriptedUpstream(script=script)
         self.addCleanup(self.upstream.close)
         clock = SystemClock()
-        self.pool = SessionPool(clock=clock, names=NAMES)
+        self.pool = SessionPool(clock=clock, names=NAMES, budget=budget)
         self.addCleanup(self.pool.close)
         self.clock = clock
+        return self.connect()
+
+    def connect(self):
+        """Return a new session to the upstream."""
         session = self.pool.checkout(self.upstream.address)
         session.begin_connect()
         poller = select.poll()
@@ -226,3 +235,106 @@
                 self.wait_readable(session)
                 with self.assertRaises(SessionFailed):
                     self.probe(session)
+
+
+# Endless responses, and responses to other requests without end.
+REPLIES = ENDLESS_REPLIES | {
+    "responses to others": Reply(
+        content=b"", endless=response("other", body=b"x" * 900).content * 8
+    )
+}
+ENDLESS_WAIT_MS = 300.0
+# Time of the last read and of the failure, on a busy machine.
+ENDLESS_MARGIN_MS = 1_000.0
+MAX_ENDLESS_BYTES = MAX_RESPONSE_BYTES + (1 << 20)
+
+
+class TestEndlessBytes(SessionTest):
+    """Bytes without end end with the time or the size limit of a response."""
+
+    def read_for(self, session, read):
+        """Call ``read`` with a deadline until it fails; return the peak of memory."""
+        deadline = self.clock.now() + ENDLESS_WAIT_MS
+        tracemalloc.start()
+        tracemalloc.reset_peak()
+        self.addCleanup(tracemalloc.stop)
+        with self.assertRaises(SessionFailed):
+            while self.clock.now() < deadline + ENDLESS_MARGIN_MS:
+                read(deadline)
+        self.assertLess(self.clock.now(), deadline + ENDLESS_MARGIN_MS)
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        self.assertFalse(session.reusable)
+        session.close()
+        self.assertTrue(self.upstream.ended.wait(5.0))
+        return peak
+
+    def test_response_without_end_is_read_on(self):
+        for name, reply in REPLIES.items():
+            with self.subTest(name):
+                session = self.session_to(lambda *_, reply=reply: reply)
+                self.send(session)
+
+                def read(deadline, session=session):
+                    session.read_request(REQUEST, "own", deadline=deadline)
+                    if self.clock.now() >= deadline:
+                        # The request's task ends at its deadline.
+                        session._close_after_use = True
+                        raise SessionFailed("deadline", sent=True)
+
+                peak = self.read_for(session, read)
+                # The body, and a copy while its parts are joined.
+                self.assertLess(peak, 2 * MAX_ENDLESS_BYTES)
+
+    def test_responses_without_end_together_exceed_the_memory(self):
+        budget = ReceiveBudget(max_bytes=1 << 20)
+        stalled = Reply(
+            content=HEAD + b"Content-Length: 2000000\r\n\r\n" + b"x" * 900_000
+        )
+        large = response("own", body=b"x" * 900_000)
+        session = self.session_to(
+            lambda connection, _: stalled if connection == 1 else large, budget=budget
+        )
+        deadline = self.send(session)
+        task = threading.Thread(
+            target=lambda: self.assertRaises(
+                SessionFailed,
+                session.read_request,
+                REQUEST,
+                "own",
+                deadline=deadline,
+            )
+        )
+        task.start()
+        time.sleep(0.3)
+        with self.assertRaises(SessionFailed) as caught:
+            self.exchange(self.connect())
+        self.assertIn("exceed", str(caught.exception))
+        task.join()
+        # The memory of a response that was given up is available again.
+        self.assertEqual(len(self.exchange(self.connect()).body), 900_000)
+
+    def test_probe_response_without_end_is_read_on(self):
+        probe = Probe(path="/health", names=NAMES)
+        for name, reply in REPLIES.items():
+            with self.subTest(name):
+                session = self.session_to(lambda *_, reply=reply: reply)
+                session.send_probe(probe)
+                peak = self.read_for(
+                    session, lambda d, session=session: session.read_probe(deadline=d)
+                )
+                self.assertLess(peak, 1 << 20)
+
+    def test_bytes_without_end_before_a_probe_are_read_on(self):
+        probe = Probe(path="/health", names=NAMES)
+        for name, reply in REPLIES.items():
+            with self.subTest(name):
+                session = self.session_to(lambda *_, reply=reply: reply)
+                session.send_probe(probe)
+                time.sleep(0.05)
+                started = self.clock.now()
+                with self.assertRaises(SessionFailed):
+                    session.send_probe(probe)
+                self.assertLess(self.clock.now() - started, ENDLESS_MARGIN_MS)
+                session.close()
+                self.assertTrue(self.upstream.ended.wait(5.0))
--- a/tests/entry/test_placed_relay.py
+++ b/tests/entry/test_placed_relay.py
@@ -26,6 +26,7 @@
 from monsoonline.errors import Refusal
 from monsoonline.metrics import Metrics
 from monsoonline.types import LoadReport, Outcome, Request
+from tests.adapters.endless_replies import ENDLESS_REPLIES
 from tests.adapters.scripted_upstream import Reply
 from tests.entry.target_fixture import (
     HEALTH_PATH,
@@ -440,6 +441,22 @@
         self.assertEqual(refusal.outcome, Outcome.NOT_RUN)
 
 
+class TestEndlessResponses(RelayTest):
+    """A caller gets its answer in time although an upstream sends without end."""
+
+    def test_caller_waits_for_the_end_of_a_response_without_end(self):
+        for name, reply in ENDLESS_REPLIES.items():
+            with self.subTest(name):
+                relay = self.relay_to(
+                    Target("i1", replies=lambda n, r, reply=reply: reply)
+                )
+                started = time.monotonic()
+                refusal = self.refused(relay, self.request("/book/1", method="POST"))
+                self.assertLess(time.monotonic() - started, 1.6)
+                self.assertEqual(refusal.outcome, Outcome.UNKNOWN)
+                self.assertIn(refusal.status, (502, 504))
+
+
 class TestPermits(RelayTest):
     """Requests to an upstream with a limit are sent only with a valid permit."""
 
