Close the connection on which an upstream did not take a request as its own

What callers could see: 503, 'not run', for a request that the upstream had run, when a response 421 was written once more on a connection that then carried the request to another upstream at the same address.

Sessions are pooled by address, and a reused address belongs to another upstream, which the request may be sent to next, with the same id.

Change: a session is reused only after a signed response; all other results close it.

Evidence: test_misdirection_written_again_is_taken_for_that_of_the_next_one failed before ('the pool has no usable upstream') and passes.

--- a/src/monsoonline/entry/attempts.py
+++ b/src/monsoonline/entry/attempts.py
@@ -11,11 +11,9 @@
 
 __all__ = ["Attempts"]
 
-# Results after which the session is not used again. A refusal that is written once more
-# has the id of its request, so it would pass for the response to a second send.
-CLOSING_KINDS = frozenset(
-    (AttemptKind.TIMED_OUT, AttemptKind.CONNECTION_LOST, AttemptKind.SHED)
-)
+# Results after which the session is reused. A refusal that is written once more has the
+# id of its request, so it would pass for the response to a second send.
+REUSE_KINDS = frozenset((AttemptKind.SUCCEEDED, AttemptKind.FAILED_RESPONSE))
 
 logger = logging.getLogger(__name__)
 
@@ -130,10 +128,10 @@
         else:
             completed = kind in (AttemptKind.SUCCEEDED, AttemptKind.FAILED_RESPONSE)
             self._crashes.finished(state.address, task.fingerprint, completed=completed)
-        if kind in CLOSING_KINDS:
-            attempt.session.close()
-        else:
+        if kind in REUSE_KINDS:
             self._sessions.check_in(attempt.session)
+        else:
+            attempt.session.close()
 
     def cancel_open(self, task):
         """Cancel the open attempts.
--- a/tests/entry/test_placed_relay.py
+++ b/tests/entry/test_placed_relay.py
@@ -209,6 +209,24 @@
 
         self.assert_repeated_refusal_is_ignored(script)
 
+    def test_misdirection_written_again_is_taken_for_that_of_the_next_one(self):
+        """Sessions are pooled by address, which another upstream may have by now."""
+
+        def script(number, request):
+            if number > 1:
+                return target.respond(request, delay_ms=60.0)
+            echo_id = header_of(request, NAMES.request_id)
+            head = f"{target.refuse(status=421)}{NAMES.request_id}: {echo_id}\r\n\r\n"
+            return Reply(content=head.encode(), later=head.encode(), delay_s=0.03)
+
+        target = Target("i1", replies=script)
+        relay = self.relay_to(target)
+        booking = self.request("/book/1", method="POST", body=b"x")
+        self.refused(relay, booking)
+        target.instance = "i2"
+        self.register(relay, target)
+        self.assertEqual(relay.handle(booking).status, 200)
+
     def test_request_after_a_probe_response_that_closes_is_lost(self):
         target = Target("i1")
         target.closing_probes = 1
