Check the permits of limited upstreams against a specification

Cause: that the sum over all entries stays within a limit while owners end, pause and are cut off was argued in a commit message and shown by tests of single cases only.

Change: a model of one upstream with a limit of one request a second and two entries, either of which may end, start again, pause, continue or be cut off at any moment, in any order and number.

--- a/src/monsoonline/verify/__init__.py
+++ b/src/monsoonline/verify/__init__.py
@@ -5,6 +5,7 @@
     configuration,
     drains,
     edits,
+    permits,
 )
 from monsoonline.verify.specification import Specification, Verdict, specifications
 
