Keep writing log lines after a record that cannot be formatted

What operators could see: no further line of an entry, while it served on.

Cause: an error in formatting one record ended the thread that writes all.

Change: a line names the logger and the error instead of the record.

Evidence: test_record_that_cannot_be_formatted_ends_the_writer failed before (no line was written) and passes.

--- a/src/monsoonline/logs.py
+++ b/src/monsoonline/logs.py
@@ -87,6 +87,15 @@
             self._write([record for record in records if record is not None])
         self._writer_ended.set()
 
+    def _format_safely(self, record):
+        """Return the line of a record, of the error if it cannot be formatted."""
+        try:
+            return self.format(record) + "\n"
+        except Exception as error:
+            fields = {"name": __name__, "levelname": "ERROR", "msg": "line not written"}
+            unformatted = {"logger_name": record.name, "error": repr(error)}
+            return self.format(logging.makeLogRecord(fields | unformatted)) + "\n"
+
     def _write(self, records):
         dropped, self._dropped = self._dropped, 0
         if dropped:
@@ -101,7 +110,7 @@
                     }
                 )
             )
-        text = "".join(self.format(record) + "\n" for record in records)
+        text = "".join(self._format_safely(record) for record in records)
         try:
             self._stream.write(text)
             self._stream.flush()
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -39,6 +39,16 @@
         document = json.loads(stream.getvalue())
         self.assertEqual((document["entry"], document["upstream"]), ("e1", "u1"))
 
+    def test_record_that_cannot_be_formatted_ends_the_writer(self):
+        stream = io.StringIO()
+        handler = self.configure(stream)
+        logger = logging.getLogger("monsoonline.x")
+        logger.info("%d entries", "three")
+        logger.info("next")
+        handler.close()
+        messages = [json.loads(s)["message"] for s in stream.getvalue().splitlines()]
+        self.assertEqual(messages, ["line not written", "next"])
+
     def test_queued_records_are_written_on_close(self):
         """Guards against losing the line that reports a stop when the process ends."""
         stream = io.StringIO()
