Survive malformed messages and unexpected errors in all background tasks

Cause: two of one class, an error in one round that ends an endless loop. The loop that accepts callers ended when no thread could be started, that of peers at any error of accept, and those that watch the settings, join the fleet, gossip and update the state at any error.

Change: numbers between entries are finite and not negative, addresses are IP addresses with a port, all other values are rejected as invalid messages. Tasks are started by one function that runs them again after an unexpected error, and logs and counts it. Accept loops go on.

--- a/src/monsoonline/adapters/fleet_codec.py
+++ b/src/monsoonline/adapters/fleet_codec.py
@@ -6,6 +6,7 @@
 """
 
 import base64
+import ipaddress
 import json
 import math
 import zlib
@@ -23,6 +24,14 @@
 MIN_COMPRESSED_BYTES = 200
 MAX_DECODED_BYTES = 16 << 20
 
+# Raised by the conversions below for values of another type or out of range.
+INVALID_VALUE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
 MEMBER_READY_FLAG = 1
 MEMBER_LEAVING_FLAG = 2
 REGISTRATION_COLD_FLAG = 2
@@ -40,14 +49,43 @@
     ]
 
 
+def unpack_address(text):
+    """Return a ``host:port`` with an IP address.
+
+    :raises ValueError: when it is none; messages could not be sent to it
+    """
+    text = str(text)
+    host, _, port = text.rpartition(":")
+    ipaddress.ip_address(host)
+    if not 0 < int(port) < 1 << 16:
+        raise ValueError(f"port {port!r}, expected 1 to 65535")
+    return text
+
+
+def unpack_number(value):
+    """Return a finite number of at least 0 as a float.
+
+    :raises ValueError: when it is none; an estimate that contains it would stay wrong
+    """
+    number = float(value)
+    if not 0 <= number < math.inf:
+        raise ValueError(f"{value!r}, expected a number of at least 0")
+    return number
+
+
+def unpack_optional(value):
+    """Return a finite number of at least 0 as a float, or ``None``."""
+    return None if value is None else unpack_number(value)
+
+
 def unpack_member(fields):
     """Return the :class:`FleetMember` packed in a list."""
     name, failure_domain, callers_address, peer_address, flags = fields
     return FleetMember(
         name=str(name),
         failure_domain=str(failure_domain),
-        callers_address=str(callers_address),
-        peer_address=str(peer_address),
+        callers_address=unpack_address(callers_address),
+        peer_address=unpack_address(peer_address),
         ready=bool(flags & MEMBER_READY_FLAG),
         leaving=bool(flags & MEMBER_LEAVING_FLAG),
     )
@@ -61,7 +99,8 @@
 def unpack_ages(rows):
     """Return the :class:`MemberAge` items packed in lists."""
     return tuple(
-        MemberAge(age_ms=float(row[0]), member=unpack_member(row[1:])) for row in rows
+        MemberAge(age_ms=unpack_number(row[0]), member=unpack_member(row[1:]))
+        for row in rows
     )
 
 
@@ -107,25 +146,12 @@
     ]
 
 
-def unpack_limit(value):
-    """Return a limit, ``None`` without one.
-
-    :raises ValueError: when it is not a number of at least 0
-    """
-    if value is None:
-        return None
-    limit = float(value)
-    if not 0 <= limit < math.inf:
-        raise ValueError(f"limit {value!r}, expected a number of at least 0")
-    return limit
-
-
 def unpack_limit_age(limit, sent_age_ms, received_age_ms):
     """Return the :class:`LimitAge` packed in these fields."""
     return messages.LimitAge(
-        limit=unpack_limit(limit),
-        sent_age_ms=None if sent_age_ms is None else float(sent_age_ms),
-        received_age_ms=float(received_age_ms),
+        limit=unpack_optional(limit),
+        sent_age_ms=unpack_optional(sent_age_ms),
+        received_age_ms=unpack_number(received_age_ms),
     )
 
 
@@ -204,7 +230,7 @@
     return messages.Heartbeat(
         sender=unpack_member(sender),
         members=unpack_ages(members),
-        read_age_ms=None if read_age_ms is None else float(read_age_ms),
+        read_age_ms=unpack_optional(read_age_ms),
         tables_revision=int(tables),
         registrations_revision=int(registrations),
         registrations_digest=str(digest),
@@ -217,7 +243,7 @@
     """Return the :class:`ReadNotice` packed in these fields."""
     return messages.ReadNotice(
         sender=unpack_member(sender),
-        read_age_ms=float(read_age_ms),
+        read_age_ms=unpack_number(read_age_ms),
         tables_revision=int(tables),
         delta=RegistrationDelta(
             revision=int(revision),
@@ -234,7 +260,9 @@
     return messages.FailureNotice(
         sender=unpack_member(sender),
         failures=tuple(
-            messages.UpstreamFailure(instance=str(instance), weight=float(weight))
+            messages.UpstreamFailure(
+                instance=str(instance), weight=unpack_number(weight)
+            )
             for instance, weight in failures
         ),
         crashes=tuple(CrashReport.decode(payload) for payload in crashes),
@@ -250,12 +278,12 @@
             messages.UpstreamLoad(
                 instance=str(instance),
                 report=LoadReport(
-                    in_flight=int(in_flight),
-                    queued=int(queued),
+                    in_flight=max(0, int(in_flight)),
+                    queued=max(0, int(queued)),
                     slots=max(1, int(slots)),
-                    pace=float(pace),
+                    pace=unpack_number(pace),
                 ),
-                limit=unpack_limit(limit[0]) if limit else None,
+                limit=unpack_number(limit[0]) if limit else None,
             )
             for instance, in_flight, queued, slots, pace, *limit in loads
         ),
@@ -278,7 +306,7 @@
     return messages.PermitReply(
         number=int(number),
         result=messages.PermitResult(result),
-        tokens=float(tokens),
+        tokens=unpack_number(tokens),
         observed=unpack_limit_age(*observed),
     )
 
@@ -334,7 +362,10 @@
             f"message prefix {prefix!r}, expected {JSON_PREFIX!r} or "
             f"{COMPRESSED_PREFIX!r}"
         )
-    return json.loads(body)
+    try:
+        return json.loads(body)
+    except RecursionError as error:
+        raise ValueError("the values are nested too deeply") from error
 
 
 def encode_datagram(message):
@@ -350,7 +381,7 @@
     document = decompress(content)
     try:
         return UNPACKERS[document[0]](*document[1:])
-    except (KeyError, TypeError, ValueError, IndexError) as error:
+    except INVALID_VALUE_ERRORS as error:
         raise ValueError(f"invalid message between entries: {error!r}") from error
 
 
@@ -388,8 +419,8 @@
             registrations=None
             if registrations is None
             else tuple(unpack_registration(row) for row in registrations),
-            read_age_ms=None if read_age_ms is None else float(read_age_ms),
+            read_age_ms=unpack_optional(read_age_ms),
             members=unpack_ages(members),
         )
-    except (TypeError, ValueError, IndexError) as error:
+    except INVALID_VALUE_ERRORS as error:
         raise ValueError(f"invalid state of an entry: {error!r}") from error
--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -339,8 +339,10 @@
             return
         try:
             self._start_connection(connection, address)
-        except OSError:
-            # The caller reset the connection before its thread started.
+        except Exception as error:
+            # The caller has reset the connection, or no thread could be started.
+            if not isinstance(error, OSError):
+                logger.exception("connection not served")
             connection.close()
 
     @property
@@ -366,7 +368,11 @@
             return
         self.set_socket_options(connection)
         channel = self.channel_class(self, connection, address, self.adj, map={})
-        self._executor.submit(channel.serve)
+        try:
+            self._executor.submit(channel.serve)
+        except RuntimeError:
+            channel.handle_close()
+            raise
 
     def _ensure_capacity(self):
         """Close an idle connection if the connection limit is reached.
--- a/src/monsoonline/adapters/peer_connections.py
+++ b/src/monsoonline/adapters/peer_connections.py
@@ -33,6 +33,8 @@
 RECONNECT_DELAY_MS = 20.0
 CONNECT_ATTEMPTS = 3
 MAX_CONNECTIONS = 64
+# Pause after a connection could not be accepted.
+ACCEPT_RETRY_MS = 10.0
 MAX_QUEUED_REQUESTS = 64
 IDLE_TIMEOUT_MS = 30_000.0
 HANDSHAKE_TIMEOUT_MS = 2000.0
@@ -544,8 +546,13 @@
                 connection, _ = self._listener.accept()
             except TimeoutError:
                 continue
-            except OSError:
-                return
+            except OSError as error:
+                if not self._closed:
+                    # The peer has reset the connection, or no descriptor is free.
+                    self._count_dropped("accept-failed")
+                    logger.warning("accept failed", extra={"error": repr(error)})
+                    time.sleep(ACCEPT_RETRY_MS / 1e3)
+                continue
             with self._lock:
                 full = len(self._open_connections) >= MAX_CONNECTIONS or self._closed
                 if not full:
--- a/src/monsoonline/adapters/peer_network.py
+++ b/src/monsoonline/adapters/peer_network.py
@@ -8,6 +8,7 @@
 
 from monsoonline.adapters.peer_codec import PeerCodec, ReplayWindow
 from monsoonline.adapters.peer_connections import PeerClient, PeerServer
+from monsoonline.background import start_task
 from monsoonline.core.gossip import (
     MAX_DATAGRAM_BYTES,
     DatagramPort,
@@ -163,7 +164,12 @@
             "peer-vm-list": self._update_members,
         }
         for name, task in tasks.items():
-            threading.Thread(target=task, name=name, daemon=True).start()
+            start_task(
+                task,
+                stopping=self._stopping,
+                name=name,
+                on_error=lambda: self._metrics.count("task_failures_total"),
+            )
 
     def close(self):
         """Stop without notifying peers.
--- a/src/monsoonline/core/configuration.py
+++ b/src/monsoonline/core/configuration.py
@@ -11,6 +11,7 @@
 import numpy
 import orjson
 
+from monsoonline.background import start_task
 from monsoonline.core.configuration_messages import Delta, OfferReply
 from monsoonline.core.configuration_peers import ConfigurationPeers, RecentChanges
 from monsoonline.core.contact import ContactMonitor
@@ -176,7 +177,7 @@
         self.poll()
         for target in (self._run_polls, self._run_ticks):
             name = f"configuration-{target.__name__}"
-            threading.Thread(target=target, name=name, daemon=True).start()
+            start_task(target, stopping=self._stopping, name=name)
 
     def close(self):
         """Stop polling and close the exchange with peers."""
--- a/src/monsoonline/entry/fleet_link.py
+++ b/src/monsoonline/entry/fleet_link.py
@@ -13,6 +13,7 @@
     encode_datagram,
     encode_state,
 )
+from monsoonline.background import start_task
 from monsoonline.core.fleet import MemberAge
 from monsoonline.core.fleet_messages import (
     FailureNotice,
@@ -105,12 +106,7 @@
             self._run_fetches,
             self._send_failures,
         ):
-            threading.Thread(
-                target=self._run_until_closed,
-                args=(task,),
-                name=task.__name__,
-                daemon=True,
-            ).start()
+            start_task(task, stopping=self._stopping, on_error=self._count_failure)
 
     def close(self):
         """Stop without telling the other entries."""
@@ -242,16 +238,8 @@
         self._state.use_copy(copy)
         return True
 
-    def _run_until_closed(self, task):
-        """Run a task until the link is closed; restart it after unexpected errors."""
-        while not self._stopping.is_set():
-            try:
-                task()
-            except Exception:
-                # A single bad message must not stop the exchange with all entries.
-                self._metrics.count("fleet_link_failures_total")
-                logger.exception("unexpected error in the exchange with other entries")
-                self._stopping.wait(HEARTBEAT_INTERVAL_MS / 1e3)
+    def _count_failure(self):
+        self._metrics.count("fleet_link_failures_total")
 
     # Receiving
 
@@ -274,7 +262,13 @@
                 continue
             host, port = address
             self._fleet.note_message(f"{host}:{port}", self._clock.now())
-            response = self._handle_message(message)
+            try:
+                response = self._handle_message(message)
+            except Exception:
+                # The next message must not wait for the restart of the task.
+                self._count_failure()
+                logger.exception("unexpected error while handling a message")
+                continue
             if response is not None:
                 self._send_to(address, encode_datagram(response))
 
--- a/src/monsoonline/entry/fleet_service.py
+++ b/src/monsoonline/entry/fleet_service.py
@@ -11,6 +11,7 @@
 
 from monsoonline.adapters.http_server import HttpServer
 from monsoonline.adapters.upstream_sessions import SessionPool
+from monsoonline.background import start_task
 from monsoonline.clock import SystemClock
 from monsoonline.core.contact import PauseDetector
 from monsoonline.core.crashes import CrashTracker
@@ -190,7 +191,7 @@
             server.start()
         self._reader.start()
         for task in (self._wait_for_state, self._refresh_limits):
-            threading.Thread(target=task, name=task.__name__, daemon=True).start()
+            start_task(task, stopping=self._stopping, on_error=self._count_failure)
 
     def use_settings(self, settings):
         """Apply the changed settings that do not require a restart.
@@ -321,11 +322,10 @@
 
     def _refresh_limits(self):
         while not self._stopping.wait(LIMIT_REFRESH_INTERVAL_MS / 1e3):
-            try:
-                self._relay.refresh_limits()
-            except Exception:
-                self._metrics.count("limit_refresh_failures_total")
-                logger.exception("unexpected error while reading limits")
+            self._relay.refresh_limits()
+
+    def _count_failure(self):
+        self._metrics.count("task_failures_total")
 
     def _announce(self):
         state = self._lifecycle.state
--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -10,6 +10,7 @@
 from monsoonline.adapters.platform import PlatformClient
 from monsoonline.adapters.table_store import HttpTableStore
 from monsoonline.adapters.vm_list import HttpVirtualMachineList
+from monsoonline.background import start_task
 from monsoonline.clock import SystemClock
 from monsoonline.core.configuration import Configuration
 from monsoonline.core.contact import PauseDetector
@@ -156,7 +157,7 @@
         self._operations.start()
         self._update_state()
         for task in (self._run_state_updates, self._run_vm_list, self._run_detector):
-            threading.Thread(target=task, name=task.__name__, daemon=True).start()
+            start_task(task, stopping=self._stopping, on_error=self._count_failure)
 
     def stop(self):
         """Stop gracefully, then close.
@@ -285,6 +286,9 @@
     def _use_tables(self, tables):
         self._path.use_tables(tables, entry_count=self._count_connection_sharers())
 
+    def _count_failure(self):
+        self._metrics.count("task_failures_total")
+
     def _run_detector(self):
         self._detector.run(self._stopping)
 
--- a/src/monsoonline/entry/settings_watch.py
+++ b/src/monsoonline/entry/settings_watch.py
@@ -6,6 +6,7 @@
 import queue
 import threading
 
+from monsoonline.background import start_task
 from monsoonline.errors import FindingsError
 
 __all__ = ["SettingsWatch"]
@@ -34,11 +35,11 @@
         self._content = self._path.read_bytes()
         # put() of SimpleQueue is reentrant and thus safe in a signal handler.
         self._check_requests = queue.SimpleQueue()
-        self._stopping = False
+        self._stopping = threading.Event()
 
     def start(self):
         """Start watching in a thread."""
-        threading.Thread(target=self._run, name="settings", daemon=True).start()
+        start_task(self._run, stopping=self._stopping, name="settings")
 
     def check_soon(self):
         """Trigger a check immediately; safe to call from a signal handler."""
@@ -46,7 +47,7 @@
 
     def close(self):
         """Stop watching."""
-        self._stopping = True
+        self._stopping.set()
         self._check_requests.put(None)
 
     def check(self):
@@ -75,8 +76,8 @@
         return True
 
     def _run(self):
-        while not self._stopping:
+        while not self._stopping.is_set():
             with contextlib.suppress(queue.Empty):
                 self._check_requests.get(timeout=CHECK_INTERVAL_S)
-            if not self._stopping:
+            if not self._stopping.is_set():
                 self.check()
--- a/src/monsoonline/entry/store_reader.py
+++ b/src/monsoonline/entry/store_reader.py
@@ -4,6 +4,7 @@
 import random
 import threading
 
+from monsoonline.background import start_task
 from monsoonline.errors import StoreUnavailable
 
 __all__ = ["StoreReader"]
@@ -54,12 +55,15 @@
     def start(self):
         """Start joining the fleet and reading the store."""
         for task in (self._join, self._run_reads):
-            threading.Thread(target=task, name=task.__name__, daemon=True).start()
+            start_task(task, stopping=self._stopping, on_error=self._count_failure)
 
     def close(self):
         """Stop reading."""
         self._stopping.set()
 
+    def _count_failure(self):
+        self._metrics.count("store_reader_failures_total")
+
     def _join(self):
         """Register in the store, learn the other entries and announce this one."""
         retry_ms = JOIN_RETRY_MS
--- a/tests/adapters/test_fleet_codec.py
+++ b/tests/adapters/test_fleet_codec.py
@@ -1,10 +1,14 @@
 """Tests of the encoding of messages between entries."""
 
+import dataclasses
+import math
 import unittest
 
 from monsoonline.adapters.fleet_codec import (
+    compress,
     decode_datagram,
     decode_state,
+    decompress,
     encode_datagram,
     encode_state,
 )
@@ -13,7 +17,13 @@
 from monsoonline.core.fleet_messages import (
     FailureNotice,
     Heartbeat,
+    LimitAge,
     LoadNotice,
+    OwnerCheck,
+    PermitReply,
+    PermitRequest,
+    PermitResult,
+    PermitReturn,
     ReadNotice,
     SharedStateCopy,
     UpstreamFailure,
@@ -107,3 +117,99 @@
     def test_corrupt_state_is_rejected(self):
         with self.assertRaises(ValueError):
             decode_state(b"j[1,2]")
+
+
+def leaves(document, path=()):
+    """Yield the path of each value in nested lists."""
+    if isinstance(document, list):
+        for index, item in enumerate(document):
+            yield from leaves(item, (*path, index))
+    else:
+        yield path
+
+
+def replaced(document, path, value):
+    """Return a copy of nested lists with one value replaced."""
+    if not path:
+        return value
+    copy = list(document)
+    copy[path[0]] = replaced(document[path[0]], path[1:], value)
+    return copy
+
+
+class TestMalformedMessages(unittest.TestCase):
+    """One wrong value must not end a task or stay in an estimate."""
+
+    sender = member("a")
+    observed = LimitAge(limit=2.0, sent_age_ms=20.0, received_age_ms=10.0)
+    messages = (
+        Heartbeat(
+            sender=sender,
+            members=(MemberAge(member=member("b"), age_ms=250.0),),
+            read_age_ms=120.0,
+            tables_revision=7,
+            registrations_revision=9,
+            registrations_digest="abc",
+        ),
+        FailureNotice(
+            sender=sender,
+            failures=(UpstreamFailure(instance="i1", weight=1.0),),
+            crashes=(),
+        ),
+        LoadNotice(
+            sender="a",
+            chosen="i1",
+            loads=(
+                UpstreamLoad(
+                    instance="i1",
+                    report=LoadReport(in_flight=1, queued=0, slots=3, pace=1.0),
+                    limit=4.0,
+                ),
+            ),
+        ),
+        PermitRequest(number=1, instance="i1", born_ms=5, rank=0, observed=observed),
+        PermitReply(
+            number=1, result=PermitResult.ISSUED, tokens=1.0, observed=observed
+        ),
+        PermitReturn(instance="i1", born_ms=5),
+        OwnerCheck(sender="a"),
+    )
+
+    def decode_variants(self, message):
+        """Yield the path, the wrong value and the message decoded with it."""
+        document = decompress(encode_datagram(message))
+        for path in leaves(document):
+            for value in (None, -1, 1e999, float("nan"), "x", [], {}, 10**400, True):
+                content = compress(replaced(document, path, value))
+                try:
+                    yield path, value, decode_datagram(content)
+                except ValueError:
+                    continue
+
+    def test_wrong_value_is_an_unexpected_error(self):
+        for message in self.messages:
+            for path, value, decoded in self.decode_variants(message):
+                with self.subTest(path=path, value=value):
+                    self.assert_numbers_are_valid(dataclasses.asdict(decoded))
+
+    def assert_numbers_are_valid(self, value):
+        if isinstance(value, dict):
+            value = tuple(value.values())
+        if isinstance(value, tuple | list):
+            for item in value:
+                self.assert_numbers_are_valid(item)
+        elif isinstance(value, float):
+            self.assertTrue(0 <= value < math.inf, value)
+
+    def test_deeply_nested_values_are_an_unexpected_error(self):
+        for document in (b"[" * 60_000, b"[]", b"{}", b"3", b"[[1]]", b'["loads"]'):
+            with self.subTest(document[:9]), self.assertRaises(ValueError):
+                decode_datagram(compress([])[:1] + document)
+
+    def test_address_to_which_nothing_can_be_sent(self):
+        for address in ("", "x", "10.0.0.1", "10.0.0.1:x", "10.0.0.1:0", "host:80"):
+            with self.subTest(address):
+                document = decompress(encode_datagram(self.messages[0]))
+                content = compress(replaced(document, (1, 3), address))
+                with self.assertRaises(ValueError):
+                    decode_datagram(content)
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 import unittest.mock
+from unittest import mock
 
 from monsoonline.adapters.http_server import (
     ConnectionChannel,
@@ -289,6 +290,18 @@
             # before the connection is closed.
             self.assertIn(path, connection.recv(1024))
 
+    def test_thread_that_cannot_start_ends_the_accept_loop(self):
+        executor = self.server._server._executor
+        error = RuntimeError("can't start new thread")
+        with (
+            mock.patch.object(executor, "submit", side_effect=error),
+            self.assertLogs("monsoonline.adapters.http_server"),
+        ):
+            self.assertEqual(self.read_all(self.connect()), b"")
+        connection = self.connect()
+        connection.sendall(b"GET /b HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+        self.assertTrue(self.read_all(connection).endswith(b"/b"))
+
     def test_connection_beyond_the_limit_is_refused_as_not_run(self):
         """Guards against a server at its limit that does not state the outcome."""
         entered, leave = threading.Event(), threading.Event()
--- a/tests/entry/test_settings_watch.py
+++ b/tests/entry/test_settings_watch.py
@@ -40,6 +40,24 @@
         self.assertFalse(self.watch.check())
         self.assertEqual(self.applied, [])
 
+    def test_error_of_a_change_ends_the_watch(self):
+        def apply(settings):
+            self.applied.append(settings)
+            if settings == "second":
+                raise RuntimeError("fault in a change")
+
+        self.watch = SettingsWatch(path=self.path, parse=parse, on_change=apply)
+        self.addCleanup(self.watch.close)
+        self.watch.start()
+        with self.assertLogs("monsoonline.background"):
+            for content in ("second", "third"):
+                self.path.write_text(content)
+                self.watch.check_soon()
+                deadline = time.monotonic() + 5.0
+                while content not in self.applied and time.monotonic() < deadline:
+                    time.sleep(0.01)
+        self.assertEqual(self.applied, ["second", "third"])
+
     def test_invalid_settings_are_logged_once_and_ignored(self):
         """Guards against an invalid edit that ends a serving entry."""
         self.path.write_text("bad")
