--- a/src/monsoonline/bench/capacity.py
+++ b/src/monsoonline/bench/capacity.py
@@ -142,7 +142,8 @@
     :returns: tuple of :class:`Slope`
     """
     # The measurements register themselves.
-    import monsoonline.bench.capacity_measurements  # noqa: F401
+    import monsoonline.bench.capacity_measurements
+    import monsoonline.bench.permit_measurements  # noqa: F401
 
     slopes = []
     for name in names or measurements.names:
