Keep the order of owners together with the members that it is valid for

What could go wrong: with two threads, an order computed from earlier members could be kept as valid for the present ones, so an entry would ask the wrong owner until the members change again. Found in reading; not seen.

Cause: members and orders were replaced one after the other.

Change: both are replaced as one pair.

Evidence: no test brings about the interleaving; those of the permits pass.

--- a/src/monsoonline/core/upstream_view.py
+++ b/src/monsoonline/core/upstream_view.py
@@ -162,21 +162,17 @@
         """Return the usable states of upstreams that name a limit."""
         return [s for s in self.usable(excluded) if s.limit.value is not None]
 
-    def limited_candidates(self, now, *, excluded=frozenset()):
-        """Return the usable states of upstreams that name a limit, the best first.
-
-        :param now: the time in ms
-        :param excluded: instances used by earlier attempts of the request
-        """
-        limited = self.limited(excluded)
-        self._generator.shuffle(limited)
-        limited.sort(
+    def sorted_for_permits(self, states, now):
+        """Return states of upstreams that name a limit, the most promising first."""
+        ordered = list(states)
+        self._generator.shuffle(ordered)
+        ordered.sort(
             key=lambda s: (
                 self._rank(s, now)
                 + (0.0 if self.is_local(s) else REMOTE_PERMIT_PENALTY)
             )
         )
-        return limited
+        return ordered
 
     def record_report(self, state, report, now):
         """Record a :class:`monsoonline.types.LoadReport` of an upstream."""
--- a/src/monsoonline/entry/permits.py
+++ b/src/monsoonline/entry/permits.py
@@ -59,9 +59,8 @@
         # A late reply to an earlier process of this entry must not match.
         self._numbers = itertools.count(random.getrandbits(FIRST_NUMBER_BITS))
         self._replies = {}
-        # The members and, by upstream, the entries in the order of ownership.
-        self._ordered_members = None
-        self._orders = {}
+        # Members, and the owners in order by upstream, which are valid for these only.
+        self._orders = ({}, {})
         self._reviewed_at = clock.now()
 
     def acquire(self, state, rank):
@@ -252,9 +251,10 @@
     def _candidates(self, instance):
         """Return the entries that may own an upstream, the owner first."""
         members = self._fleet.remaining or {self._fleet.own.name: self._fleet.own}
-        if members is not self._ordered_members:
-            self._ordered_members, self._orders = members, {}
-        orders = self._orders
+        # Other threads may replace the pair meanwhile, but never a part of it.
+        known_members, orders = self._orders
+        if members is not known_members:
+            self._orders = (members, orders := {})
         order = orders.get(instance)
         if order is None:
             names = owner_order(instance, members, OWNER_CANDIDATES)
--- a/src/monsoonline/entry/placer.py
+++ b/src/monsoonline/entry/placer.py
@@ -113,11 +113,11 @@
         rank = task.pool.rank_of(task.route)
         promising = [
             state
-            for state in view.limited_candidates(now, excluded=task.excluded)
-            if view.slowdown_of(state, now) <= max_slowdown
-            and state.permits.allows(now, limit=state.limit.value or 0.0, rank=rank)
+            for state in view.limited(task.excluded)
+            if state.permits.allows(now, limit=state.limit.value or 0.0, rank=rank)
+            and view.slowdown_of(state, now) <= max_slowdown
         ]
-        for state in promising[:MAX_PERMIT_REQUESTS]:
+        for state in view.sorted_for_permits(promising, now)[:MAX_PERMIT_REQUESTS]:
             expires_at = self._permits.acquire(state, rank)
             if expires_at is None:
                 continue
