Replace an owner that is gone after 1.2 s instead of 2 s

Cause: let an entry take over only from one that it had not heard of for the 2 s after which shares change. Members of a failure domain hear of each other, directly or through others, within three times 400 ms.

Change: a limit of its own for the owner, 1.2 s. The share still changes after 2 s, so both owners issue the whole limit for 0.8 s at most.

--- a/src/monsoonline/core/fleet.py
+++ b/src/monsoonline/core/fleet.py
@@ -136,10 +136,9 @@
             if now - self._updated_at[name] < LIVENESS_TIMEOUT_MS
         )
 
-    def is_heard_of(self, name, now):
-        """Return whether a member, or another one on its behalf, was heard lately."""
-        updated_at = self._updated_at.get(name, float("-inf"))
-        return now - updated_at < CONTACT_TIMEOUT_MS
+    def age_ms(self, name, now):
+        """Return the time since an update of a member, also if others relayed it."""
+        return now - self._updated_at.get(name, float("-inf"))
 
     def contact_share(self, now):
         """Return the share of the remaining entries that this entry is in contact with.
@@ -157,7 +156,7 @@
         self._domains = None
 
     def _is_in_contact(self, member, now):
-        if self.is_heard_of(member.name, now):
+        if self.age_ms(member.name, now) < CONTACT_TIMEOUT_MS:
             return True
         remote = member.failure_domain != self._own.failure_domain
         heard_at = self._heard_at.get(member.failure_domain, float("-inf"))
--- a/src/monsoonline/entry/permits.py
+++ b/src/monsoonline/entry/permits.py
@@ -26,6 +26,9 @@
 PERMIT_LIFETIME_MS = 250.0
 # Interval without a review of the buckets after which others may have taken over.
 MAX_REVIEW_INTERVAL_MS = 1_500.0
+# An owner of which nothing was heard for this time, from itself or others, may be
+# replaced. Members of a failure domain hear of each other in three times 400 ms.
+OWNER_TIMEOUT_MS = 1_200.0
 # Entries in the order of owners; further ones take over only if all of these are gone.
 OWNER_CANDIDATES = 4
 # An owner that has not read an upstream's limit for this time reads it with a probe,
@@ -243,8 +246,8 @@
             contact = self._contacts[member.name]
             if (confirm or contact.silent) and contact.start_check(now):
                 self._send(member, OwnerCheck(sender=own.name))
-            heard_of = confirm and self._fleet.is_heard_of(member.name, now)
-            if heard_of or not contact.silent:
+            heard_of = self._fleet.age_ms(member.name, now) < OWNER_TIMEOUT_MS
+            if not contact.silent or (confirm and heard_of):
                 return member
         return candidates[0]
 
