Bring the comments on owners and takeovers in line with the code

Cause: the module's summary described the takeover of the first version, the model's constants did not say on which side they err, and one summary named a class that is gone.

Change: comments only.

Result: formatter and linter are clean; no test was run for this commit alone.

--- a/src/monsoonline/adapters/fleet_codec.py
+++ b/src/monsoonline/adapters/fleet_codec.py
@@ -226,7 +226,7 @@
 
 
 def unpack_heartbeat(sender, members, read_age_ms, tables, registrations, digest):
-    """Return a :class:`Beat`."""
+    """Return the :class:`Heartbeat` packed in these fields."""
     return messages.Heartbeat(
         sender=unpack_member(sender),
         members=unpack_ages(members),
--- a/src/monsoonline/core/permits.py
+++ b/src/monsoonline/core/permits.py
@@ -3,10 +3,11 @@
 Each upstream that names a limit has one owner among the entries, the first in an order
 that a hash of upstream and entry defines, so no election is needed. An entry requests a
 permit from the owner before each send, and the owner issues permits at the rate of the
-limit. The next entry in the order takes over when it gets no response from the owner
-itself. It starts without permits, since the previous owner may have issued some just
-before. An owner that hears only a part of the fleet issues a smaller share, so owners
-on both sides of a partition together stay within the limit.
+limit. The next entry in the order takes over when the owner does not respond to it and
+nothing was heard of the owner lately. It starts without permits, since the previous
+owner may have issued some just before. An owner that hears only a part of the fleet
+issues a smaller share, so owners on both sides of a partition together stay within the
+limit.
 """
 
 import dataclasses
--- a/src/monsoonline/verify/permits.py
+++ b/src/monsoonline/verify/permits.py
@@ -16,8 +16,9 @@
 WINDOW_UNITS = 2
 # Requests allowed in a window: 1.5 times the limit, and five.
 ALLOWED = 11
-# An entry that is not heard for two seconds is gone. In the model, a time of one unit
-# may be shorter and one below two units longer than that.
+# An entry may take over after the first, and issues a share after the second number of
+# time units without a sign of the other one. The first unit may be arbitrarily short,
+# so the model allows earlier takeovers and later shares than the implementation.
 MIN_SILENT_UNITS = 1
 MAX_SILENT_UNITS = 2
 RUNNING, PAUSED, DOWN = "running", "paused", "down"
