Wait for the log line in the test of the accept loop

Cause: the server closes the connection and then logs the line. The test looked for the line as soon as the connection was closed.

Change: the test waits for the line, as long as it waits for other replies. It still fails without one.

--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -295,9 +295,13 @@
         error = RuntimeError("can't start new thread")
         with (
             mock.patch.object(executor, "submit", side_effect=error),
-            self.assertLogs("monsoonline.adapters.http_server"),
+            self.assertLogs("monsoonline.adapters.http_server") as logs,
         ):
             self.assertEqual(self.read_all(self.connect()), b"")
+            # The connection is closed just before the line is logged.
+            deadline = time.monotonic() + TIMEOUT_SECONDS
+            while not logs.records and time.monotonic() < deadline:
+                time.sleep(0.002)
         connection = self.connect()
         connection.sendall(b"GET /b HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
         self.assertTrue(self.read_all(connection).endswith(b"/b"))
