Refuse requests that a stopping entry may have to cut off

Cause: the stop is planned from the signal alone. No decision compared the time limit of a new request with the time that the process has left.

Change: Lifecycle.admit_until refuses a request whose deadline lies behind the end of the stop, as not run; both relays ask it before the first attempt. After a refusal each connection closes with its next response. The margin before the platform's limit is 0.3 s instead of 0.5 s, so fewer requests are refused.

Why it works: a deadline bounds every later step of a request, so one that is admitted has ended before the process does.

--- a/src/monsoonline/entry/fleet_service.py
+++ b/src/monsoonline/entry/fleet_service.py
@@ -36,7 +36,7 @@
 PROPAGATION_MS = 1_000.0
 IDLE_CONNECTION_MS = 300.0
 # Margin before the time at which the platform ends the process.
-STOP_MARGIN_MS = 500.0
+STOP_MARGIN_MS = 300.0
 # Time reserved for requests in flight when the entry stops accepting connections.
 STOP_RESERVE_MS = 1_800.0
 # With fewer entries in the caller's failure domain, remote entries are listed too.
@@ -132,6 +132,7 @@
             metrics=self._metrics,
             fleet=self._fleet,
             send=self._send_message,
+            admit_until=self._admit_until,
         )
         self._state = SharedState(
             decode_tables=dialect.decode_tables,
@@ -304,6 +305,9 @@
         # Isolated and restarting entries use their share of a budget too.
         return 1 + len(self._fleet.others())
 
+    def _admit_until(self, deadline):
+        self._lifecycle.admit_until(deadline)
+
     def _queue_failure(self, instance, weight):
         self._link.queue_failure(instance, weight)
 
--- a/src/monsoonline/entry/lifecycle.py
+++ b/src/monsoonline/entry/lifecycle.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import logging
+import math
 import threading
 
 from monsoonline.errors import Refusal
@@ -16,6 +17,8 @@
 ]
 
 POLL_INTERVAL_MS = 20.0
+# Time to send the last response after the deadline of its request.
+RESPONSE_MS = 50.0
 
 logger = logging.getLogger(__name__)
 
@@ -95,6 +98,8 @@
         self._detector = detector
         self._state = EntryState.STARTING
         self._shorten_requested = threading.Event()
+        # Clock time in ms at which a stop ends, infinite before it begins.
+        self._ends_at = math.inf
         self._lock = threading.Lock()
 
     @property
@@ -135,6 +140,27 @@
                 retry_after_ms=1000.0,
             )
 
+    def admit_until(self, deadline):
+        """Check that a request can end before a stop of this entry does.
+
+        After a refusal, every connection is closed with its next response, since its
+        later requests would be refused too.
+
+        :param deadline: clock time in ms at which the request ends at the latest
+        :raises Refusal: ``NOT_RUN`` if the process may end before
+        """
+        late_ms = deadline + RESPONSE_MS - self._ends_at
+        if late_ms <= 0:
+            return
+        self._server.close_after_response()
+        raise Refusal(
+            f"this entry stops up to {late_ms:.0f} ms before the request would end",
+            code="entry-stopping",
+            outcome=Outcome.NOT_RUN,
+            status=503,
+            retry_after_ms=0.0,
+        )
+
     def shorten_stop(self):
         """Skip the wait for the expiry of discovery responses, on a second signal."""
         self._shorten_requested.set()
@@ -145,7 +171,7 @@
         :returns: :class:`StopReport`
         """
         started = self._clock.now()
-        limit = started + self._times.limit_ms
+        limit = self._ends_at = started + self._times.limit_ms
         self._enter(EntryState.LEAVING)
         expiry = started + self._times.lifetime_ms + self._times.propagation_ms
         shortened = not self._wait(
--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -74,6 +74,9 @@
     :param fleet: :class:`monsoonline.core.fleet.Fleet` of the entries that share the
         upstreams' limits, only this entry when omitted
     :param send: sends a message to a member of the fleet
+    :param admit_until: called with the deadline of each request before its first
+        attempt; raises a ``NOT_RUN`` :class:`monsoonline.errors.Refusal` if this entry
+        may end before it. All requests are admitted when omitted
     :param decisions: :class:`monsoonline.core.request_decisions.RequestDecisions`,
         the default ones when omitted
     :param poller: returns a poll object with the interface of :func:`select.poll`, used
@@ -97,6 +100,7 @@
         metrics,
         fleet=None,
         send=None,
+        admit_until=lambda deadline: None,
         decisions=None,
         poller=select.poll,
     ):
@@ -107,6 +111,7 @@
         self._sessions = sessions
         self._entries = entries
         self._crashes = crashes
+        self._admit_until = admit_until
         self._metrics = metrics
         self._shares = ShareChooser(generator=decisions.generator)
         self._decision_log = DecisionLog(clock=clock, metrics=metrics)
@@ -257,6 +262,7 @@
                 outcome=Outcome.UNKNOWN,
                 status=502,
             )
+        self._admit_until(task.deadline)
         task.pool.retry_budget.record_first_attempt(task.started)
         try:
             return self._serve(task)
--- a/src/monsoonline/entry/relay.py
+++ b/src/monsoonline/entry/relay.py
@@ -76,10 +76,21 @@
     :param metrics: counters
     :param service_levels: :class:`monsoonline.core.service_levels.ServiceLevels`,
         ``None`` to record no successes
+    :param admit_until: called with the deadline of each request before its first
+        attempt; raises a ``NOT_RUN`` :class:`Refusal` if this entry may end before it.
+        All requests are admitted when omitted
     """
 
     def __init__(
-        self, *, clock, dispatcher, ledger, transport, metrics, service_levels=None
+        self,
+        *,
+        clock,
+        dispatcher,
+        ledger,
+        transport,
+        metrics,
+        service_levels=None,
+        admit_until=lambda deadline: None,
     ):
         self._clock = clock
         self._dispatcher = dispatcher
@@ -87,6 +98,7 @@
         self._transport = transport
         self._metrics = metrics
         self._service_levels = service_levels
+        self._admit_until = admit_until
         self._route_table = RouteTable(routes=())
         self._pools = {}
         self._hedge_executor = concurrent.futures.ThreadPoolExecutor(
@@ -194,6 +206,7 @@
         return response
 
     def _run(self, route, request, deadline, fingerprint):
+        self._admit_until(deadline)
         history = AttemptHistory(idempotent=route.idempotent)
         while True:
             try:
--- a/src/monsoonline/entry/request_path.py
+++ b/src/monsoonline/entry/request_path.py
@@ -21,9 +21,14 @@
     :param machines: :class:`monsoonline.ports.VirtualMachineList`
     :param peers: :class:`monsoonline.ports.PeerNetwork`, ``None`` for a single entry
     :param service_levels: :class:`monsoonline.core.service_levels.ServiceLevels`
+    :param admit_until: called with the deadline of each request before its first
+        attempt; raises a :class:`monsoonline.errors.Refusal` if this entry may end
+        before it
     """
 
-    def __init__(self, *, clock, metrics, keys, machines, peers, service_levels):
+    def __init__(
+        self, *, clock, metrics, keys, machines, peers, service_levels, admit_until
+    ):
         self._dispatcher = Dispatcher(clock=clock, owner=keys.incarnation)
         self._transport = HttpUpstreamTransport(
             clock=clock, count=metrics.connection_event
@@ -48,6 +53,7 @@
             transport=self._transport,
             metrics=metrics,
             service_levels=service_levels,
+            admit_until=admit_until,
         )
         self._tables_lock = threading.Lock()
         self._tables = Tables()
--- a/src/monsoonline/entry/service.py
+++ b/src/monsoonline/entry/service.py
@@ -92,6 +92,7 @@
             machines=self._machines,
             peers=self._peers,
             service_levels=self._service_levels,
+            admit_until=self._lifecycle.admit_until,
         )
         self._discovery = Discovery(
             members=self.members,
--- a/src/monsoonline/platform/main.py
+++ b/src/monsoonline/platform/main.py
@@ -37,7 +37,7 @@
 FORCED_EXIT_CODE = 1
 # Time between the forced exit and the time at which the platform kills the process;
 # covers a signal that is noticed up to 250 ms late.
-EXIT_MARGIN_MS = 400.0
+EXIT_MARGIN_MS = 250.0
 DIALECT = Dialect(
     names=headers.HEADERS,
     parse_load=headers.parse_load,
--- a/tests/entry/target_fixture.py
+++ b/tests/entry/target_fixture.py
@@ -42,6 +42,8 @@
         self.probed_at = []
         # Whether requests and probes get a response; connections are always accepted.
         self.responsive = True
+        # Time for which it works on each request, unless the reply names another one.
+        self.work_ms = 0.0
         # Number of the next probe responses that announce the close of the connection.
         self.closing_probes = 0
         # Requests on connections up to this number get no response.
@@ -101,7 +103,7 @@
         self.executed_at.append(time.monotonic())
         reply = self._replies(len(self.executed), request)
         if isinstance(reply, dict):
-            return self.respond(request, **reply)
+            return self.respond(request, **({"delay_ms": self.work_ms} | reply))
         if isinstance(reply, str):
             echo_id = header_of(request, self._names.request_id)
             return Reply(
--- a/tests/entry/test_fleet_service.py
+++ b/tests/entry/test_fleet_service.py
@@ -1,5 +1,6 @@
 """Tests of complete entries that share a store, over loopback."""
 
+import concurrent.futures
 import http.client
 import json
 import socket
@@ -12,7 +13,7 @@
 from monsoonline.platform.main import DIALECT
 from monsoonline.platform.store import PlatformStore
 from monsoonline.standin.row_store import RowStoreStandIn
-from tests.entry.target_fixture import Target
+from tests.entry.target_fixture import Target, header_of
 from tests.platform.test_documents import CONFIGURATION, ROUTE
 from tests.test_fleet_settings import parse_with
 
@@ -110,9 +111,14 @@
         self.addCleanup(entry.close)
         return entry
 
-    def configure(self, *prefixes):
-        """Write a configuration with the default route and additional prefixes."""
-        routes = [ROUTE | {"name": p, "prefix": p} for p in ("/a/", *prefixes)]
+    def configure(self, *prefixes, **changes):
+        """Write a configuration with the default route and additional prefixes.
+
+        :param changes: fields that all routes have in place of the default ones
+        """
+        routes = [
+            ROUTE | {"name": p, "prefix": p} | changes for p in ("/a/", *prefixes)
+        ]
         self.version += 1
         self.store.write("op", "config", CONFIGURATION | {"routes": routes})
 
@@ -220,3 +226,42 @@
         self.assertEqual(self.status(1), 200)
         thread.join(5.0)
         self.assertFalse(thread.is_alive())
+
+    def test_late_request_of_a_kept_connection_is_answered_or_not_run(self):
+        """Guards against requests that are cut off when a stopping entry ends.
+
+        They were taken while they could still need longer than the rest of the stop.
+        """
+        self.configure("/b/", timeout="2s", kind="unsafe")
+        self.assertTrue(eventually(lambda: self.status(1, "/b/1") == 200))
+        self.target.work_ms = 1_900.0
+        name, _, port = self.settings[1].listeners.callers.rpartition(":")
+        kept = [http.client.HTTPConnection(name, int(port), timeout=5) for _ in "123"]
+        for connection in kept:
+            connection.request("GET", "/none/", headers={"Host": "shop.example"})
+            self.assertEqual(connection.getresponse().read()[:1], b"{")
+            self.addCleanup(connection.close)
+        with concurrent.futures.ThreadPoolExecutor(len(kept) + 1) as executor:
+            stopped = executor.submit(self.entries[1].stop)
+            statuses = [
+                executor.submit(self.send_late, connection, f"late{n}", 0.3 + 0.35 * n)
+                for n, connection in enumerate(kept)
+            ]
+        self.assertEqual(stopped.result().cut, 0)
+        ids = [header_of(r, HEADERS.request_id) for r in self.target.executed]
+        for number, status in enumerate(statuses):
+            ran = f"late{number}" in ids
+            self.assertEqual(status.result() == 200, ran, (number, status.result()))
+
+    @staticmethod
+    def send_late(connection, request_id, delay_s):
+        """Send a request after a delay; return its status, ``None`` without one."""
+        time.sleep(delay_s)
+        headers = {"Host": "shop.example", HEADERS.request_id: request_id}
+        try:
+            connection.request("POST", "/a/1", body=b"lot", headers=headers)
+            response = connection.getresponse()
+            response.read()
+            return response.status
+        except (OSError, http.client.HTTPException):
+            return None
--- a/tests/entry/test_lifecycle.py
+++ b/tests/entry/test_lifecycle.py
@@ -9,7 +9,12 @@
 from monsoonline.adapters.http_server import HttpServer
 from monsoonline.clock import ManualClock, SystemClock
 from monsoonline.core.contact import PAUSE_THRESHOLD_MS, PauseDetector
-from monsoonline.entry.lifecycle import EntryState, Lifecycle, StopTimes
+from monsoonline.entry.lifecycle import (
+    RESPONSE_MS,
+    EntryState,
+    Lifecycle,
+    StopTimes,
+)
 from monsoonline.errors import Refusal
 from monsoonline.types import Answer, Outcome
 
@@ -95,6 +100,47 @@
         self.assertEqual((report.cut, report.exit_code), (1, 1))
 
 
+class TestRequestsOfAStoppingEntry(unittest.TestCase):
+    """A stopping entry takes no request that it may have to cut off."""
+
+    def setUp(self):
+        self.clock = SteppingClock()
+        self.server = ScriptedServer(self.clock)
+        self.lifecycle = Lifecycle(
+            clock=self.clock,
+            times=StopTimes(lifetime_ms=2000.0, propagation_ms=1000.0, limit_ms=5700.0),
+            server=self.server,
+            close_keys=self.admit_during_stop,
+            hand_over=lambda: None,
+            on_state=lambda state: None,
+            detector=PauseDetector(clock=self.clock),
+        )
+        self.lifecycle.set_ready()
+
+    def admit_during_stop(self):
+        """Ask for two requests at a known time of the stop, one of them too long."""
+        left_ms = 5700.0 - self.clock.now()
+        self.lifecycle.admit_until(self.clock.now() + left_ms - RESPONSE_MS)
+        with self.assertRaises(Refusal) as caught:
+            self.lifecycle.admit_until(self.clock.now() + left_ms)
+        self.refusal = caught.exception
+
+    def test_request_that_may_outlast_the_stop_is_refused_as_not_run(self):
+        """Guards against requests that are cut off when a stopping entry ends."""
+        self.lifecycle.admit_until(1e12)
+        self.lifecycle.stop()
+        self.assertIs(self.refusal.outcome, Outcome.NOT_RUN)
+        self.assertEqual(
+            (self.refusal.status, self.refusal.code), (503, "entry-stopping")
+        )
+
+    def test_connections_close_with_their_next_response_after_a_refusal(self):
+        """Guards against callers that are refused again on the same connection."""
+        self.lifecycle.stop()
+        names = [name for name, _ in self.server.calls]
+        self.assertEqual(names[-1], "close_after_response")
+
+
 class TestPauseDetector(unittest.TestCase):
     """A process that was paused starts no bookings until it receives a reply."""
 
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -152,6 +152,36 @@
         self.assertEqual(response.header("Monsoonline-Outcome"), outcome)
 
 
+class TestStoppingEntry(RelayCase):
+    """A stopping entry refuses requests that it may have to cut off."""
+
+    def test_refused_booking_runs_neither_now_nor_when_it_is_sent_again(self):
+        """Guards against requests that are cut off when a stopping entry ends."""
+        self.start(lambda *_: OK)
+        self.relay = Relay(
+            clock=self.clock,
+            dispatcher=self.dispatcher,
+            ledger=self.ledger,
+            transport=self.transport,
+            metrics=self.metrics,
+            admit_until=self.refuse,
+        )
+        self.relay.use_tables(self.tables(RefusalMeaning.NOT_RUN, 0))
+        for _ in range(2):
+            self.assert_refused(self.book(), 503, "not-run")
+        self.assert_refused(self.lookup(), 503, "not-run")
+        self.assertEqual(self.request_counts(), [0])
+
+    @staticmethod
+    def refuse(deadline):
+        raise Refusal(
+            "the entry stops before",
+            code="entry-stopping",
+            outcome=Outcome.NOT_RUN,
+            status=503,
+        )
+
+
 class TestOutcomes(RelayCase):
     """The outcome not-run is stated only when it is certain."""
 
