Skip each row of the store that cannot be used by itself

Cause: a read was accepted or dropped whole, and its decoder handled one kind of error only. int() of NaN and a parser that recurses raise others.

Change: strict JSON with a bounded depth for all that others write, finite numbers, ports from 1 to 65535, ids that a header can hold, and a handler around each row. An unexpected error in tables hides no registrations, and tables count as in effect only once applied. Registrations from peers are checked like those of the store.

Why it works: no value of one row can raise anything that leaves the decoding of this row.

--- a/src/monsoonline/adapters/fleet_codec.py
+++ b/src/monsoonline/adapters/fleet_codec.py
@@ -6,15 +6,21 @@
 """
 
 import base64
-import ipaddress
 import json
 import math
 import zlib
 
 from monsoonline.core import fleet_messages as messages
+from monsoonline.core.checked_fields import MAX_INTEGER, is_address, is_text
 from monsoonline.core.crashes import CrashReport
 from monsoonline.core.fleet import FleetMember, MemberAge
-from monsoonline.core.registrations import Registration, RegistrationDelta
+from monsoonline.core.registrations import (
+    MAX_SLOTS,
+    Registration,
+    RegistrationDelta,
+    is_instance,
+)
+from monsoonline.core.strict_json import parse_strict_json
 from monsoonline.types import LoadReport
 
 __all__ = ["decode_datagram", "decode_state", "encode_datagram", "encode_state"]
@@ -49,17 +55,35 @@
     ]
 
 
-def unpack_address(text):
-    """Return a ``host:port`` with an IP address.
+def unpack_address(value):
+    """Return a ``host:port`` with an IPv4 address.
 
-    :raises ValueError: when it is none; messages could not be sent to it
+    :raises ValueError: when it is none; nothing could be sent to it
     """
-    text = str(text)
-    host, _, port = text.rpartition(":")
-    ipaddress.ip_address(host)
-    if not 0 < int(port) < 1 << 16:
-        raise ValueError(f"port {port!r}, expected 1 to 65535")
-    return text
+    if not is_address(value):
+        raise ValueError(f"{value!r}, expected an address such as 10.0.0.1:8080")
+    return value
+
+
+def unpack_text(value):
+    """Return a non-empty string that UTF-8 can encode.
+
+    :raises ValueError: when it is none; hashes of it could not be computed
+    """
+    if not is_text(value):
+        raise ValueError(f"{value!r}, expected a non-empty string")
+    return value
+
+
+def unpack_integer(value, *, minimum=0, maximum=MAX_INTEGER):
+    """Return an integer within inclusive bounds.
+
+    :raises ValueError: when it is none
+    """
+    number = int(value)
+    if number != value or not minimum <= number <= maximum:
+        raise ValueError(f"{value!r}, expected an integer from {minimum} to {maximum}")
+    return number
 
 
 def unpack_number(value):
@@ -82,8 +106,8 @@
     """Return the :class:`FleetMember` packed in a list."""
     name, failure_domain, callers_address, peer_address, flags = fields
     return FleetMember(
-        name=str(name),
-        failure_domain=str(failure_domain),
+        name=unpack_text(name),
+        failure_domain=unpack_text(failure_domain),
         callers_address=unpack_address(callers_address),
         peer_address=unpack_address(peer_address),
         ready=bool(flags & MEMBER_READY_FLAG),
@@ -120,13 +144,15 @@
 def unpack_registration(fields):
     """Return the :class:`Registration` packed in a list."""
     instance, pool, address, failure_domain, slots, born_ms, flags = fields
+    if not is_instance(instance):
+        raise ValueError(f"id {instance!r}, expected visible ASCII characters")
     return Registration(
-        instance=str(instance),
-        pool=str(pool),
-        address=str(address),
-        failure_domain=str(failure_domain),
-        slots=int(slots),
-        born_ms=int(born_ms),
+        instance=instance,
+        pool=unpack_text(pool),
+        address=unpack_address(address),
+        failure_domain=unpack_text(failure_domain),
+        slots=unpack_integer(slots, minimum=1, maximum=MAX_SLOTS),
+        born_ms=unpack_integer(born_ms),
         leaving=bool(flags & 1),
         cold=bool(flags & REGISTRATION_COLD_FLAG),
     )
@@ -231,8 +257,8 @@
         sender=unpack_member(sender),
         members=unpack_ages(members),
         read_age_ms=unpack_optional(read_age_ms),
-        tables_revision=int(tables),
-        registrations_revision=int(registrations),
+        tables_revision=unpack_integer(tables),
+        registrations_revision=unpack_integer(registrations),
         registrations_digest=str(digest),
     )
 
@@ -244,9 +270,9 @@
     return messages.ReadNotice(
         sender=unpack_member(sender),
         read_age_ms=unpack_number(read_age_ms),
-        tables_revision=int(tables),
+        tables_revision=unpack_integer(tables),
         delta=RegistrationDelta(
-            revision=int(revision),
+            revision=unpack_integer(revision),
             base=str(base),
             digest=str(digest),
             changed=tuple(unpack_registration(row) for row in changed),
@@ -362,10 +388,7 @@
             f"message prefix {prefix!r}, expected {JSON_PREFIX!r} or "
             f"{COMPRESSED_PREFIX!r}"
         )
-    try:
-        return json.loads(body)
-    except RecursionError as error:
-        raise ValueError("the values are nested too deeply") from error
+    return parse_strict_json(body)
 
 
 def encode_datagram(message):
@@ -413,9 +436,9 @@
             document
         )
         return messages.SharedStateCopy(
-            tables_revision=int(tables_revision),
+            tables_revision=unpack_integer(tables_revision),
             tables=base64.b64decode(tables),
-            registrations_revision=int(revision),
+            registrations_revision=unpack_integer(revision),
             registrations=None
             if registrations is None
             else tuple(unpack_registration(row) for row in registrations),
--- a/src/monsoonline/core/checked_fields.py
+++ b/src/monsoonline/core/checked_fields.py
@@ -4,15 +4,19 @@
 loading such a library would take a fifth of the entry's memory.
 """
 
+import ipaddress
 import re
+import sys
 
 from monsoonline.errors import Finding, FindingsError
 
-__all__ = ["CheckedFields"]
+__all__ = ["MAX_INTEGER", "CheckedFields", "is_address", "is_text"]
 
 DURATION = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,6})?)(ms|s)")
 UNIT_MS = {"ms": 1.0, "s": 1000.0}
-ADDRESS = re.compile(r"[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}")
+ADDRESS = re.compile(r"([0-9.]{7,15}):([0-9]{1,5})")
+MAX_PORT = 65_535
+MAX_INTEGER = 2**63 - 1
 MISSING = object()
 
 
@@ -54,9 +58,7 @@
 
     def string(self, name, *, default=MISSING):
         """Return a field that is a non-empty string."""
-        return self._field(
-            name, default, "", lambda v: isinstance(v, str) and v, "a non-empty string"
-        )
+        return self._field(name, default, "", is_text, "a non-empty string")
 
     def address(self, name, *, default=MISSING):
         """Return a field that is an IPv4 address with a port."""
@@ -64,7 +66,7 @@
             name,
             default,
             "",
-            lambda v: isinstance(v, str) and ADDRESS.fullmatch(v),
+            is_address,
             "an address such as 10.0.0.1:8080",
         )
 
@@ -84,15 +86,17 @@
             f"a number from {minimum:g} to {maximum:g}",
         )
 
-    def integer(self, name, *, default=MISSING, minimum=0, maximum=2**63):
+    def integer(self, name, *, default=MISSING, minimum=0, maximum=MAX_INTEGER):
         """Return a field that is an integer within inclusive bounds."""
-        return self._field(
+        value = self._field(
             name,
             default,
             minimum,
             lambda v: is_number(v) and int(v) == v and minimum <= v <= maximum,
             f"an integer from {minimum} to {maximum}",
         )
+        # Entries compare digests of values, in which 3.0 would differ from 3.
+        return int(value) if isinstance(value, float) else value
 
     def duration_ms(self, name, *, default=MISSING):
         """Return a duration such as ``1500ms`` or ``2.5s``, converted to ms."""
@@ -164,5 +168,32 @@
 
 
 def is_number(value):
-    """Return whether a JSON value is a number; booleans are not numbers."""
-    return isinstance(value, int | float) and not isinstance(value, bool)
+    """Return whether a JSON value is a finite number; booleans are not numbers."""
+    return (
+        isinstance(value, int | float)
+        and not isinstance(value, bool)
+        and abs(value) <= sys.float_info.max
+    )
+
+
+def is_text(value):
+    """Return whether a JSON value is a non-empty string that UTF-8 can encode."""
+    if not isinstance(value, str) or not value:
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def is_address(value):
+    """Return whether a JSON value is an IPv4 address with a port."""
+    match = ADDRESS.fullmatch(value) if isinstance(value, str) else None
+    if match is None or not 1 <= int(match[2]) <= MAX_PORT:
+        return False
+    try:
+        ipaddress.IPv4Address(match[1])
+    except ValueError:
+        return False
+    return True
--- a/src/monsoonline/core/crashes.py
+++ b/src/monsoonline/core/crashes.py
@@ -12,6 +12,8 @@
 import json
 import threading
 
+from monsoonline.core.strict_json import parse_strict_json
+
 __all__ = ["CrashReport", "CrashTracker"]
 
 CRASHES_TO_BLOCK = 2
@@ -77,10 +79,11 @@
         :raises ValueError: when the payload is malformed
         """
         try:
-            document = json.loads(payload)
+            content = payload.encode() if isinstance(payload, str) else payload
+            document = parse_strict_json(content)
             fingerprint = document["fingerprint"]
             incidents, cleared = document["incidents"], document["cleared"]
-        except (KeyError, TypeError, ValueError):
+        except (AttributeError, KeyError, TypeError, ValueError):
             raise ValueError(
                 f"invalid crash report {payload[:40]!r}: expected a JSON object with "
                 "fingerprint, incidents and cleared"
--- a/src/monsoonline/core/registrations.py
+++ b/src/monsoonline/core/registrations.py
@@ -2,8 +2,20 @@
 
 import dataclasses
 import hashlib
+import re
 
-__all__ = ["Listing", "Registration", "RegistrationDelta", "RegistrationList"]
+__all__ = [
+    "MAX_SLOTS",
+    "Listing",
+    "Registration",
+    "RegistrationDelta",
+    "RegistrationList",
+    "is_instance",
+]
+
+MAX_SLOTS = 100_000
+# Ids are sent in headers.
+INSTANCE = re.compile(r"[!-~]{1,200}")
 
 # A registration that expired during a store failure is renewed within two seconds of
 # the store's recovery; the remaining 0.5 s cover the interval between two reads.
@@ -66,6 +78,11 @@
     removed: tuple[str, ...] = ()
 
 
+def is_instance(text):
+    """Return whether a text can be the id of an upstream."""
+    return INSTANCE.fullmatch(text) is not None
+
+
 def digest_of(registrations):
     """Return a short digest of a dict of registrations, whatever its order."""
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
--- a/src/monsoonline/entry/shared_state.py
+++ b/src/monsoonline/entry/shared_state.py
@@ -60,7 +60,9 @@
     def use_tables(self, revision, content):
         """Apply stored tables if they are newer.
 
-        Invalid tables are logged with all their findings and never applied.
+        Invalid tables are logged with all their findings and never applied. After an
+        unexpected error they are tried again with the next read, and whatever else was
+        read is applied.
 
         :param revision: revision of the tables in the store
         :param content: tables as stored, in bytes
@@ -69,7 +71,7 @@
             if revision <= max(self._tables_revision, self._invalid_revision):
                 return
             try:
-                tables = self._decode_tables(content, revision)
+                self._on_tables(self._decode_tables(content, revision))
             except FindingsError as error:
                 self._invalid_revision = revision
                 self._metrics.count("tables_refused_total")
@@ -78,9 +80,15 @@
                     extra={"revision": revision, "findings": str(error)},
                 )
                 return
+            except Exception:
+                self._metrics.count("tables_refused_total")
+                logger.exception(
+                    "unexpected error while applying tables",
+                    extra={"revision": revision},
+                )
+                return
             self._tables_revision = revision
             self._stored_tables = content
-            self._on_tables(tables)
         logger.info("tables in effect", extra={"revision": revision})
 
     def use_listing(self, listing, *, now, ms_since_store_failure):
--- a/src/monsoonline/fleet_settings.py
+++ b/src/monsoonline/fleet_settings.py
@@ -1,11 +1,11 @@
 """Settings of an entry that keeps its shared state in a store service."""
 
 import dataclasses
-import json
 import pathlib
 
 from monsoonline.core.checked_fields import CheckedFields
 from monsoonline.core.retry_budget import RetryLimits
+from monsoonline.core.strict_json import parse_strict_json
 from monsoonline.errors import Finding, FindingsError
 
 __all__ = ["FleetEntrySettings", "Listeners", "load_fleet_settings", "parse_settings"]
@@ -87,7 +87,7 @@
     :raises FindingsError: if the document is invalid; holds all findings
     """
     try:
-        document = json.loads(content)
+        document = parse_strict_json(content)
     except ValueError as error:
         raise FindingsError(
             [Finding(place=place, path=".", value=str(error), expected="JSON")]
--- a/src/monsoonline/platform/documents.py
+++ b/src/monsoonline/platform/documents.py
@@ -15,7 +15,8 @@
     Tables,
     Tolerance,
 )
-from monsoonline.core.registrations import Registration
+from monsoonline.core.registrations import MAX_SLOTS, Registration, is_instance
+from monsoonline.core.strict_json import parse_strict_json
 from monsoonline.errors import Finding, FindingsError
 
 __all__ = [
@@ -44,7 +45,7 @@
     :raises FindingsError: if the bytes are not JSON
     """
     try:
-        return json.loads(content)
+        return parse_strict_json(content)
     except ValueError as error:
         finding = Finding(place=place, path=".", value=str(error), expected="JSON")
         raise FindingsError([finding]) from None
@@ -146,6 +147,8 @@
     """
     place = f"servers/{instance}"
     fields = CheckedFields(parse_json(content, place), place=place)
+    if not is_instance(instance):
+        fields.add_finding("id", "visible ASCII characters")
     info = fields.child("info")
     status = fields.child("status")
     registration = Registration(
@@ -153,7 +156,7 @@
         pool=info.string("service"),
         address=fields.address("address"),
         failure_domain=info.string("zone"),
-        slots=info.integer("slots", minimum=1, maximum=100_000),
+        slots=info.integer("slots", minimum=1, maximum=MAX_SLOTS),
         leaving=status.choice("state", TARGET_STATES) == "draining",
         born_ms=fields.integer("born", default=0),
         # ``cold_left`` is the time for which the target remains slow after its start.
--- a/src/monsoonline/platform/store.py
+++ b/src/monsoonline/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import http.client
+import itertools
 import json
 import logging
 import socket
@@ -29,6 +30,8 @@
 ENTRIES_TABLE = "monsoonline-entries"
 HTTP_OK = 200
 PAGE_ROWS = 500
+MAX_LOGGED_ROWS = 5
+MAX_LOGGED_FINDINGS = 300
 
 logger = logging.getLogger(__name__)
 
@@ -119,6 +122,8 @@
     def __init__(self, *, address, timeout_ms=CALL_TIMEOUT_MS):
         self._read_connection = StoreConnection(address=address, timeout_ms=timeout_ms)
         self._join_connection = StoreConnection(address=address, timeout_ms=timeout_ms)
+        # Invalid rows of the last read by table.
+        self._skipped = {}
 
     def close(self):
         """Close the connections."""
@@ -142,7 +147,7 @@
         self._join_connection.call("POST", "/-/rows-tx", document=document)
         rows, _ = self._read_rows(self._join_connection, ENTRIES_TABLE)
         self._join_connection.close()
-        return tuple(self._decode_rows(rows, decode_member))
+        return self._decode_rows(ENTRIES_TABLE, rows, decode_member)
 
     def read(self, tables_revision):
         """Return the configuration, if it is newer, and all targets.
@@ -161,7 +166,7 @@
                 if revision > tables_revision:
                     tables = decode_value(row)
         rows, listing_revision = self._read_rows(self._read_connection, TARGETS_TABLE)
-        registrations = tuple(self._decode_rows(rows, decode_registration))
+        registrations = self._decode_rows(TARGETS_TABLE, rows, decode_registration)
         return StoredState(
             tables_revision=revision,
             tables=tables,
@@ -188,14 +193,39 @@
                 return rows, revision
             query["from"] = page["rows"][-1]["key"] + "\0"
 
-    @staticmethod
-    def _decode_rows(rows, decode):
-        """Yield decoded rows, skipping invalid ones such as rows of other writers."""
+    def _decode_rows(self, table, rows, decode):
+        """Return the decoded rows without invalid ones, such as those of others."""
+        decoded, skipped = [], {}
         for row in rows:
             try:
-                yield decode(row["key"], decode_value(row))
+                decoded.append(decode(row["key"], decode_value(row)))
             except FindingsError as error:
-                logger.debug("skipped an invalid row", extra={"findings": str(error)})
+                skipped[row["key"], row.get("ver")] = str(error)
+            except Exception as error:
+                # One row must not hide the others, whatever its decoder overlooks.
+                skipped[row.get("key"), row.get("ver")] = repr(error)
+        self._log_skipped(table, skipped)
+        return tuple(decoded)
+
+    def _log_skipped(self, table, skipped):
+        """Log the invalid rows of a table if they differ from those of the last read.
+
+        :param skipped: the findings by key and version of the row
+        """
+        if skipped.keys() != self._skipped.get(table, {}).keys():
+            first = itertools.islice(skipped.items(), MAX_LOGGED_ROWS)
+            logger.warning(
+                "invalid rows skipped",
+                extra={
+                    "table": table,
+                    "rows": len(skipped),
+                    "first": {
+                        key: findings[:MAX_LOGGED_FINDINGS]
+                        for (key, _), findings in first
+                    },
+                },
+            )
+        self._skipped[table] = skipped
 
 
 def decode_value(row):
--- a/tests/adapters/test_fleet_codec.py
+++ b/tests/adapters/test_fleet_codec.py
@@ -11,6 +11,8 @@
     decompress,
     encode_datagram,
     encode_state,
+    pack_registration,
+    unpack_registration,
 )
 from monsoonline.core.crashes import CrashReport
 from monsoonline.core.fleet import MemberAge
@@ -167,6 +169,18 @@
                 ),
             ),
         ),
+        ReadNotice(
+            sender=sender,
+            read_age_ms=5.0,
+            tables_revision=7,
+            delta=RegistrationDelta(
+                revision=9,
+                base="abc",
+                digest="abd",
+                changed=(registration("i1", address="10.0.0.1:80"),),
+                removed=("i2",),
+            ),
+        ),
         PermitRequest(number=1, instance="i1", born_ms=5, rank=0, observed=observed),
         PermitReply(
             number=1, result=PermitResult.ISSUED, tokens=1.0, observed=observed
@@ -201,6 +215,28 @@
         elif isinstance(value, float):
             self.assertTrue(0 <= value < math.inf, value)
 
+    def test_registration_to_which_nothing_can_be_sent(self):
+        """Guards against a neighbour that passes on a row which the store's reader
+        would skip."""
+        for index, value in (
+            (0, "i1\r\nX-Own: 1"),
+            (0, 5),
+            (1, ""),
+            (2, "10.0.0.1:65536"),
+            (2, "10.0.0.1:0"),
+            (2, "somewhere"),
+            (3, "\ud800"),
+            (4, 0),
+            (4, 1e400),
+            (5, 10**400),
+            (5, 0.5),
+        ):
+            fields = list(pack_registration(registration("i1", address="10.0.0.1:80")))
+            unpack_registration(fields)
+            fields[index] = value
+            with self.subTest(index=index, value=value), self.assertRaises(ValueError):
+                decode_state(compress([1, "", 1, [fields], None, []]))
+
     def test_deeply_nested_values_are_an_unexpected_error(self):
         for document in (b"[" * 60_000, b"[]", b"{}", b"3", b"[[1]]", b'["loads"]'):
             with self.subTest(document[:9]), self.assertRaises(ValueError):
--- a/tests/entry/test_fleet_service.py
+++ b/tests/entry/test_fleet_service.py
@@ -162,6 +162,16 @@
         self.configure("/c/")
         self.assertTrue(eventually(lambda: self.status(0, "/c/1") == 200))
 
+    def test_row_of_another_writer_hides_no_change_also_after_a_restart(self):
+        """Guards against a row of another writer that stops all reads of the store."""
+        self.store.write("servers", "odd", b"[" * 5_000)
+        self.configure("/b/")
+        for number in (0, 1):
+            self.assertTrue(eventually(lambda n=number: self.status(n, "/b/1") == 200))
+        restarted = self.start("e2")
+        self.assertTrue(eventually(lambda: restarted.ready))
+        self.assertEqual(self.status(2, "/b/1"), 200)
+
     def test_entries_share_the_calls_to_the_store(self):
         """Guards against several readers at a time.
 
--- a/tests/entry/test_shared_state.py
+++ b/tests/entry/test_shared_state.py
@@ -1,7 +1,9 @@
 """Tests of merging the shared state from all sources."""
 
 import unittest
+from unittest import mock
 
+from monsoonline.core.fleet_messages import SharedStateCopy
 from monsoonline.core.registrations import Listing
 from monsoonline.entry.shared_state import SharedState
 from monsoonline.errors import Finding, FindingsError
@@ -31,6 +33,8 @@
         if content == b"broken":
             finding = Finding(place="p", path=".", value="x", expected="y")
             raise FindingsError([finding])
+        if content == b"unexpected":
+            raise ZeroDivisionError
         return (revision, content)
 
     def listing(self, state, revision, *registrations):
@@ -60,6 +64,35 @@
         self.state.use_tables(9, b"newer")
         self.assertEqual(self.state.tables_revision, 9)
 
+    def test_unexpected_error_in_tables_hides_no_registrations(self):
+        """Guards against tables that stop all that is read with them."""
+        copy = SharedStateCopy(
+            tables_revision=9,
+            tables=b"unexpected",
+            registrations_revision=30,
+            registrations=(registration("i2"),),
+            read_age_ms=1.0,
+            members=(),
+        )
+        with self.assertLogs("monsoonline.entry.shared_state", "ERROR"):
+            self.state.use_copy(copy)
+        self.assertEqual(list(self.published[-1]), ["i2"])
+        self.assertEqual(self.state.tables_revision, 0)
+        self.state.use_tables(9, b"tried again")
+        self.assertEqual(self.state.tables_revision, 9)
+
+    def test_tables_that_could_not_be_applied_are_not_in_effect(self):
+        """Guards against an entry that reports tables which it does not use."""
+        state = SharedState(
+            decode_tables=self.decode,
+            on_tables=mock.Mock(side_effect=[ZeroDivisionError, None]),
+            on_registrations=self.published.append,
+            metrics=self.metrics,
+        )
+        for revision in (0, 7):
+            state.use_tables(7, b"new")
+            self.assertEqual(state.tables_revision, revision)
+
     def test_copy_brings_another_entry_to_the_same_state(self):
         self.state.use_tables(7, b"new")
         self.listing(self.state, 20, registration("i1"))
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -130,6 +130,54 @@
             with self.subTest(content=content), self.assertRaises(FindingsError):
                 decode_registration("i1", content)
 
+    def test_values_that_nothing_can_be_sent_to_raise_findings(self):
+        """Guards against a row of another writer that stops all reads of the store.
+
+        Others ended the requests that tried to connect to their address.
+        """
+        info, status = TARGET["info"], TARGET["status"]
+        invalid = (
+            {"info": info | {"slots": float("nan")}},
+            {"info": info | {"slots": float("inf")}},
+            {"info": info | {"slots": 10**400}},
+            {"info": info | {"zone": "\ud800"}},
+            {"info": info | {"service": ["s1"]}},
+            {"status": status | {"state": {}}},
+            {"status": status | {"cold_left": "9" * 400 + "s"}},
+            {"born": 10**400},
+            {"born": float("inf")},
+            {"address": "10.0.0.1:0"},
+            {"address": "10.0.0.1:65536"},
+            {"address": "10.0.0.1:99999"},
+            {"address": "10.0.0.1:-1"},
+            {"address": "10.0.0.256:80"},
+            {"address": "10.0.0.1:\u0661"},
+        )
+        for changes in invalid:
+            with self.subTest(changes=changes), self.assertRaises(FindingsError):
+                self.decode(**changes)
+        whole = json.dumps(TARGET).encode()
+        for content in (
+            b"[" * 100_000,
+            b'{"a":' * 100_000,
+            whole.replace(b'"slots": 3', b'"slots": 1e400'),
+            whole.replace(b'"born": 17', b'"born": NaN, "x": 17'),
+            whole.replace(b"zh-a", b"\xff"),
+        ):
+            with self.subTest(content=content[:60]), self.assertRaises(FindingsError):
+                decode_registration("i1", content)
+
+    def test_id_that_no_header_can_hold_is_invalid(self):
+        """Guards against headers of another writer in requests to upstreams."""
+        for instance in ("i1\r\nX-Own: 1", "i 1", "", "i\u00e9"):
+            with self.subTest(instance), self.assertRaises(FindingsError):
+                decode_registration(instance, json.dumps(TARGET).encode())
+
+    def test_whole_numbers_are_read_alike_however_they_are_written(self):
+        """Guards against digests that differ between entries for ever."""
+        changes = {"info": TARGET["info"] | {"slots": 3.0}, "born": 1.7e12}
+        self.assertEqual(repr(self.decode(**changes)), repr(self.decode()))
+
 
 class TestMember(unittest.TestCase):
     """Encoding and decoding of an entry's row."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,8 +1,11 @@
 """Tests of the store client against a stand-in for the store."""
 
+import json
 import unittest
+from unittest import mock
 
 from monsoonline.errors import StoreUnavailable
+from monsoonline.platform.documents import decode_registration
 from monsoonline.platform.store import PlatformStore
 from monsoonline.standin.row_store import RowStoreStandIn
 from tests.core.test_fleet import member
@@ -30,6 +33,51 @@
         self.assertEqual([r.instance for r in registrations], ["i1"])
         self.assertGreater(stored.listing.revision, revision)
 
+    def test_odd_row_hides_no_other_row(self):
+        """Guards against a row of another writer that stops all reads of the store."""
+        self.standin.write("op", "config", CONFIGURATION)
+        self.standin.write("servers", "i1", TARGET)
+        whole = json.dumps(TARGET).encode()
+        for number, content in enumerate(
+            (
+                b"[" * 5_000,
+                whole.replace(b'"slots": 3', b'"slots": NaN'),
+                whole.replace(b'"slots": 3', b'"slots": 1e400'),
+                whole.replace(b":8080", b":65536"),
+                b"",
+            )
+        ):
+            self.standin.write("servers", f"odd{number}", content)
+        with self.assertLogs("monsoonline.platform.store", "WARNING") as captured:
+            for _ in range(3):
+                stored = self.store.read(0)
+                self.assertIsNotNone(stored.tables)
+                self.assertEqual(
+                    [r.instance for r in stored.listing.registrations], ["i1"]
+                )
+        self.assertEqual([record.rows for record in captured.records], [5])
+
+    def test_error_of_a_decoder_hides_no_other_row(self):
+        """Guards against a row of another writer that stops all reads of the store."""
+        self.standin.write("op", "config", CONFIGURATION)
+        for instance in ("i1", "odd", "i2"):
+            self.standin.write("servers", instance, TARGET)
+
+        def decode(instance, content):
+            if instance == "odd":
+                raise ZeroDivisionError
+            return decode_registration(instance, content)
+
+        with mock.patch("monsoonline.platform.store.decode_registration", decode):
+            registrations = self.store.read(0).listing.registrations
+        self.assertEqual([r.instance for r in registrations], ["i1", "i2"])
+
+    def test_odd_rows_of_entries_hide_no_other_entry(self):
+        for key, content in (("x", b"[" * 5_000), ("y", b'{"zone": NaN}')):
+            self.standin.write("monsoonline-entries", key, content)
+        members = self.store.join(member("a"))
+        self.assertEqual([m.name for m in members], ["a"])
+
     def test_configuration_with_a_known_revision_is_not_returned(self):
         revision = self.standin.write("op", "config", CONFIGURATION)
         self.assertIsNone(self.store.read(revision).tables)
