--- a/tests/adapters/test_vm_list.py
+++ b/tests/adapters/test_vm_list.py
@@ -47,6 +47,13 @@
         self.assertEqual((second.status, second.content), (304, b""))
         self.assertGreater(len(first.content), 1000)
 
+    def test_odd_row_hides_no_leaving_machine(self):
+        """Guards against one row of another writer that stops reads of the list."""
+        for odd in (None, 5, {}, row("x") | {"leaving": "yes"}, {"name": ["u"]}):
+            with self.subTest(odd=odd):
+                self.platform.put_machines([odd, row("u", leaving=True)])
+                self.assertEqual(self.read(), [("u", True)])
+
     def test_outage_is_reported_despite_a_cached_list(self):
         self.platform.put_machines([row("u")])
         self.read()
