Name the recipient of each load probe

Cause: a probe named no recipient, and its id was numbered from 1 in each process.

Change: a probe names its upstream as requests do, and a 421 ends the use of the registration. Ids begin at a random number.

Why it works: the rule for requests, that any other upstream answers 421 and runs nothing, holds for whatever names its recipient.

--- a/src/monsoonline/adapters/upstream_sessions.py
+++ b/src/monsoonline/adapters/upstream_sessions.py
@@ -8,6 +8,7 @@
 import http.client
 import io
 import itertools
+import random
 import select
 import socket
 import threading
@@ -31,6 +32,7 @@
 # belong to earlier probes or match no request.
 MAX_STRAY_RESPONSES = 8
 MAX_IDLE_SESSIONS = 4
+FIRST_PROBE_NUMBER_BITS = 63
 # Time after the deadline in which bytes that have arrived are still read.
 READ_OVERTIME_MS = 50.0
 MAX_PROBE_RESPONSE_BYTES = 64 << 10
@@ -80,11 +82,16 @@
         """Path of the probe requests."""
         return self._path
 
-    def encode(self, address, request_id):
-        """Return the encoded bytes of a probe request."""
+    def encode(self, address, request_id, instance):
+        """Return the encoded bytes of a probe request.
+
+        :param instance: the only upstream that may respond; another one at its
+            address, whose probes have another path, would run the probe as a request
+        """
         return (
             f"GET {self._path} HTTP/1.1\r\nHost: {address}\r\n"
-            f"{self._names.request_id}: {request_id}\r\n\r\n"
+            f"{self._names.request_id}: {request_id}\r\n"
+            f"{self._names.intended_instance}: {instance}\r\n\r\n"
         ).encode("latin-1")
 
 
@@ -139,7 +146,8 @@
     :param budget: :class:`monsoonline.adapters.receive_budget.ReceiveBudget`
     """
 
-    _probe_numbers = itertools.count(1)
+    # Random, since upstreams get probes of many processes.
+    _probe_numbers = itertools.count(random.getrandbits(FIRST_PROBE_NUMBER_BITS))
 
     def __init__(self, *, address, clock, names, budget):
         self._received = budget.open()
@@ -211,16 +219,18 @@
         )
         self._stream = ResponseStream(self._reader)
 
-    def send_probe(self, probe):
+    def send_probe(self, probe, instance):
         """Send a load probe.
 
+        :param probe: the :class:`Probe`
+        :param instance: id of the upstream that it is for
         :raises SessionFailed: when the connection is lost or holds bytes that belong to
             no probe, such as a response written twice
         """
         self._drain()
         request_id = f"{next(self._probe_numbers):016x}"
         self._unread_probe_ids.append(request_id)
-        self._send(probe.encode(self._address, request_id), self._clock.now())
+        self._send(probe.encode(self._address, request_id, instance), self._clock.now())
 
     def read_probe(self, *, deadline):
         """Return the response to the last probe.
--- a/src/monsoonline/bench/virtual_sessions.py
+++ b/src/monsoonline/bench/virtual_sessions.py
@@ -136,9 +136,9 @@
             raise SessionFailed(f"{self._address}: {self._connect_error}", sent=False)
         self.connected = True
 
-    def send_probe(self, probe):
+    def send_probe(self, probe, instance):
         """Send the question for the load."""
-        del probe
+        del probe, instance
         self._probes += 1
         self._inbox.clear()
         self._network.carry(self._upstream, self._arrive_probe, self._probes)
--- a/src/monsoonline/core/response_classification.py
+++ b/src/monsoonline/core/response_classification.py
@@ -2,7 +2,7 @@
 
 import enum
 
-__all__ = ["ResponseClass", "classify_response"]
+__all__ = ["MISDIRECTED_STATUS", "ResponseClass", "classify_response"]
 
 MISDIRECTED_STATUS = 421
 # Statuses that callers take as a guarantee that the request was not run.
--- a/src/monsoonline/entry/prober.py
+++ b/src/monsoonline/entry/prober.py
@@ -5,6 +5,7 @@
 
 from monsoonline.adapters.upstream_sessions import SessionFailed
 from monsoonline.core.placement import ProbeResult, is_acceptable
+from monsoonline.core.response_classification import MISDIRECTED_STATUS
 
 __all__ = ["PendingProbe", "ProbedUpstream", "UpstreamProber"]
 
@@ -201,7 +202,9 @@
         if pending.state.limit.value is not None:
             self._metrics.count("probes_of_limited_upstreams_total")
         pending.sent_at = self._clock.now()
-        pending.session.send_probe(probe_round.probe)
+        pending.session.send_probe(
+            probe_round.probe, pending.state.registration.instance
+        )
         probe_round.add(pending, select.POLLIN)
 
     def _advance(self, probe_round, pending, view):
@@ -247,7 +250,9 @@
     def _read_result(self, pending, view, response):
         state = pending.state
         instance = response.header(self._names.instance)
-        if instance is not None and instance != state.registration.instance:
+        if response.status == MISDIRECTED_STATUS or (
+            instance is not None and instance != state.registration.instance
+        ):
             state.misdirected = True
             self._metrics.count("upstream_misdirected_total")
             pending.session.close()
--- a/tests/adapters/test_upstream_sessions.py
+++ b/tests/adapters/test_upstream_sessions.py
@@ -137,6 +137,20 @@
         self.clock.sleep(5.0)
         self.assertTrue(session.expired)
 
+    def test_probe_names_its_recipient_and_has_an_id_of_its_own(self):
+        """Guards against probes that other upstreams run, and ids used by others."""
+        session = self.session_to(lambda *_: Reply(content=b""))
+        probe = Probe(path="/health", names=NAMES)
+        for _ in range(2):
+            session.send_probe(probe, "i1")
+        while len(self.upstream.requests) < 2:
+            self.clock.sleep(1.0)
+        ids = {header_of(r, NAMES.request_id) for r in self.upstream.requests}
+        self.assertEqual(len(ids), 2)
+        self.assertNotIn("1".zfill(16), ids)
+        named = {header_of(r, NAMES.intended_instance) for r in self.upstream.requests}
+        self.assertEqual(named, {"i1"})
+
     def test_probe_accepts_only_its_own_response(self):
         """Guards against accepting a late response to an earlier probe."""
 
@@ -150,10 +164,10 @@
 
         session = self.session_to(script)
         probe = Probe(path="/health", names=NAMES)
-        session.send_probe(probe)
+        session.send_probe(probe, "i1")
         while not self.upstream.requests:
             self.clock.sleep(1.0)
-        session.send_probe(probe)
+        session.send_probe(probe, "i1")
         self.assertEqual(
             session.read_probe(deadline=self.clock.now() + WAIT_MS).body, b"new"
         )
@@ -171,7 +185,7 @@
     """Responses to probes need not repeat an id, so their order must be reliable."""
 
     def probe(self, session):
-        session.send_probe(Probe(path="/health", names=NAMES))
+        session.send_probe(Probe(path="/health", names=NAMES), "i1")
 
     def read(self, session):
         return session.read_probe(deadline=self.clock.now() + WAIT_MS)
@@ -319,7 +333,7 @@
         for name, reply in REPLIES.items():
             with self.subTest(name):
                 session = self.session_to(lambda *_, reply=reply: reply)
-                session.send_probe(probe)
+                session.send_probe(probe, "i1")
                 peak = self.read_for(
                     session, lambda d, session=session: session.read_probe(deadline=d)
                 )
@@ -330,11 +344,11 @@
         for name, reply in REPLIES.items():
             with self.subTest(name):
                 session = self.session_to(lambda *_, reply=reply: reply)
-                session.send_probe(probe)
+                session.send_probe(probe, "i1")
                 time.sleep(0.05)
                 started = self.clock.now()
                 with self.assertRaises(SessionFailed):
-                    session.send_probe(probe)
+                    session.send_probe(probe, "i1")
                 self.assertLess(self.clock.now() - started, ENDLESS_MARGIN_MS)
                 session.close()
                 self.assertTrue(self.upstream.ended.wait(5.0))
--- a/tests/bench/test_virtual_sessions.py
+++ b/tests/bench/test_virtual_sessions.py
@@ -86,8 +86,8 @@
     def test_answer_to_an_earlier_probe_is_skipped(self):
         """A stale report would count as the state of this moment."""
         session = self.connected()
-        session.send_probe(PROBE)
-        session.send_probe(PROBE)
+        session.send_probe(PROBE, "i1")
+        session.send_probe(PROBE, "i1")
         self.timeline.run(self.timeline.now() + 100.0)
         self.assertEqual(session.read_probe(deadline=0.0).status, 200)
         self.assertFalse(session.ready(select.POLLIN))
--- a/tests/entry/target_fixture.py
+++ b/tests/entry/target_fixture.py
@@ -28,10 +28,20 @@
         :class:`Reply`, ``None`` for no response, the arguments of :meth:`respond`, or
         the head of a response without its request id
     :param load: value of its load header
+    :param health_path: path of its probes; it runs those with another path
     """
 
-    def __init__(self, instance, *, replies=None, load="0,0,3,1.0", names=NAMES):
+    def __init__(
+        self,
+        instance,
+        *,
+        replies=None,
+        load="0,0,3,1.0",
+        names=NAMES,
+        health_path=HEALTH_PATH,
+    ):
         self._names = names
+        self._health_path = health_path
         self.instance = instance
         self.load = load
         # Value of its limit header, ``None`` to send none.
@@ -96,21 +106,28 @@
         self._serving.connection = connection
         if connection <= self.unresponsive_connections or not self.responsive:
             return None
-        if request.startswith(f"GET {HEALTH_PATH} ".encode()):
+        if request.startswith(f"GET {self._health_path} ".encode()):
             self.probed_at.append(time.monotonic())
             return self._report(request)
+        intended = header_of(request, self._names.intended_instance)
+        if intended not in (None, self.instance):
+            return self._identified(self.refuse(status=421), request)
         self.executed.append(request)
         self.executed_at.append(time.monotonic())
         reply = self._replies(len(self.executed), request)
         if isinstance(reply, dict):
             return self.respond(request, **({"delay_ms": self.work_ms} | reply))
         if isinstance(reply, str):
-            echo_id = header_of(request, self._names.request_id)
-            return Reply(
-                content=f"{reply}{self._names.request_id}: {echo_id}\r\n\r\n".encode()
-            )
+            return self._identified(reply, request)
         return reply
 
+    def _identified(self, head, request):
+        """Return the reply with a head, completed by the id of a request."""
+        echo_id = header_of(request, self._names.request_id)
+        return Reply(
+            content=f"{head}{self._names.request_id}: {echo_id}\r\n\r\n".encode()
+        )
+
     def _report(self, request):
         echo_id = header_of(request, self._names.request_id)
         close = self.closing_probes > 0
--- a/tests/entry/test_placed_relay.py
+++ b/tests/entry/test_placed_relay.py
@@ -227,6 +227,21 @@
         self.register(relay, target)
         self.assertEqual(relay.handle(booking).status, 200)
 
+    def test_probe_is_run_as_a_request_at_a_reused_address(self):
+        """Guards against probes that name no recipient.
+
+        The address has gone to an upstream of another service, whose probes have
+        another path.
+        """
+        target = Target("i9", health_path="/other/health")
+        relay = self.relay_to(target)
+        target.instance = "i1"
+        self.register(relay, target)
+        target.instance = "i9"
+        self.refused(relay, self.request())
+        self.refused(relay, self.request())
+        self.assertEqual((target.executed, target.probed_at), ([], []))
+
     def test_request_after_a_probe_response_that_closes_is_lost(self):
         target = Target("i1")
         target.closing_probes = 1
