Add a soak of the real entry processes with seeded troubles

The soak starts the entries of the deploy file on loopback beside a stand-in of the store, changes the configuration, kills, stops, pauses and reloads entries, disturbs the store, lets upstreams leave and writes odd rows, with overlaps, and checks each response against what was acknowledged by then.

--- /dev/null
+++ b/tests/tools/test_soak.py
@@ -0,0 +1,112 @@
+"""Tests of the soak: its checks against known histories, and one short seeded run."""
+
+import tempfile
+import unittest
+
+from tools.soak.history import (
+    Bounds,
+    Change,
+    History,
+    Response,
+    Run,
+    find_violations,
+)
+from tools.soak.world import Plan, Soak
+
+SOAK_SEED = 7
+SOAK_SECONDS = 45.0
+
+
+def response(request_id="r1", **changes):
+    fields = {
+        "entry": "e",
+        "prefix": "/a/",
+        "safe": False,
+        "sent_at": 20.0,
+        "ended_at": 20.1,
+        "status": 200,
+    }
+    return Response(request_id=request_id, **(fields | changes))
+
+
+def run(request_id="r1", *, service="desk", instance="i1"):
+    return Run(
+        request_id=request_id, service=service, instance=instance, started_at=20.0
+    )
+
+
+class TestChecks(unittest.TestCase):
+    """Each rule is found broken in a history that breaks it, and in no other."""
+
+    def setUp(self):
+        self.history = History(bounds=Bounds())
+        for sent_at, routes in (
+            (1.0, {"/a/": "desk"}),
+            (10.0, {"/a/": "office", "/b/": "desk"}),
+        ):
+            self.history.changes.append(
+                Change(sent_at=sent_at, acknowledged_at=sent_at + 0.1, routes=routes)
+            )
+
+    def rules(self, *responses, runs=()):
+        self.history.responses[:] = responses
+        self.history.runs[:] = runs
+        return [finding.rule for finding in find_violations(self.history)]
+
+    def test_old_service_counts_only_after_the_bound(self):
+        old = run(service="desk")
+        self.assertEqual(self.rules(response(), runs=[old]), ["CONFIG"])
+        early = response(sent_at=12.0, ended_at=12.1)
+        self.assertEqual(self.rules(early, runs=[old]), [])
+        self.assertEqual(self.rules(response(), runs=[run(service="office")]), [])
+
+    def test_missing_and_dropped_routes(self):
+        refused = response(prefix="/b/", status=404)
+        self.assertEqual(self.rules(refused), ["CONFIG"])
+        self.assertEqual(self.rules(response(prefix="/c/", status=404)), [])
+        dropped = response(prefix="/c/")
+        self.assertEqual(self.rules(dropped, runs=[run()]), ["CONFIG"])
+
+    def test_trouble_shortly_before_excuses_configuration(self):
+        self.history.troubles["e"] = [(16.0, 17.5)]
+        out_of_touch = self.rules(response(), runs=[run(service="desk")])
+        self.assertEqual(out_of_touch, ["CONFIG (out of touch)"])
+        self.history.troubles["e"] = [(10.0, 16.9)]
+        self.assertEqual(self.rules(response(), runs=[run(service="desk")]), ["CONFIG"])
+
+    def test_second_runs_and_runs_of_refused_requests(self):
+        office = run(service="office")
+        self.assertEqual(self.rules(response(), runs=[office, office]), ["TWICE"])
+        self.assertEqual(self.rules(response(safe=True), runs=[office, office]), [])
+        self.assertEqual(self.rules(response(status=503), runs=[office]), ["REFUSED"])
+        self.assertEqual(self.rules(runs=[run("unknown")]), ["UNASKED"])
+
+    def test_request_cut_off_by_a_stop(self):
+        cut = response(status=None, ended_at=24.0)
+        office = run(service="office")
+        self.assertEqual(self.rules(cut, runs=[office]), [])
+        self.history.stops["e"] = [19.0]
+        self.assertEqual(self.rules(cut, runs=[office]), ["LOST"])
+        self.assertEqual(self.rules(cut), [])
+
+    def test_request_at_an_upstream_that_leaves(self):
+        office = run(service="office")
+        self.history.leaving["i1"] = 18.5
+        self.assertEqual(self.rules(response(), runs=[office]), [])
+        self.history.leaving["i1"] = 17.5
+        self.assertEqual(self.rules(response(), runs=[office]), ["DRAIN"])
+
+
+class TestSoak(unittest.TestCase):
+    """Real entries keep the rules under overlapping troubles."""
+
+    def test_seeded_soak(self):
+        plan = Plan(seed=SOAK_SEED, seconds=SOAK_SECONDS, entries=4, callers=16)
+        with tempfile.TemporaryDirectory() as folder:
+            history = Soak(plan=plan, folder=folder).run()
+        findings = find_violations(history)
+        self.assertGreater(len(history.responses), 100)
+        self.assertGreater(len(history.troubles), 0)
+        self.assertEqual(
+            [f for f in findings if "out of touch" not in f.rule], [], findings
+        )
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak of real entry processes: seeded faults, and checks of every response."""
--- /dev/null
+++ b/tools/soak/history.py
@@ -0,0 +1,240 @@
+"""What the operator changed and what callers and upstreams saw, and what it breaks."""
+
+import bisect
+import dataclasses
+import time
+
+__all__ = [
+    "Bounds",
+    "Change",
+    "Finding",
+    "History",
+    "Response",
+    "find_violations",
+]
+
+NOT_FOUND = 404
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Bounds:
+    """Bounds of the platform's rules, in s.
+
+    :param apply: time after an acknowledgement in which a version takes effect
+    :param drain: the same for a leaving upstream
+    :param stable: time without trouble after which an entry counts as in touch
+    :param grace: time from SIGTERM until the process is killed
+    """
+
+    apply: float = 2.0
+    drain: float = 2.0
+    stable: float = 3.0
+    grace: float = 6.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Change:
+    """One version of the configuration.
+
+    :param sent_at: time in s at which it was sent to the store
+    :param acknowledged_at: time in s at which the store accepted it
+    :param routes: name of the service by prefix
+    """
+
+    sent_at: float
+    acknowledged_at: float
+    routes: dict
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Response:
+    """One request as its caller saw it.
+
+    :param entry: name of the entry
+    :param request_id: id of the request
+    :param prefix: prefix of its path
+    :param safe: whether it may run more than once
+    :param sent_at: time in s at which it was sent
+    :param ended_at: time in s of the response or the end of the connection
+    :param status: status of the response, ``None`` if the connection ended without one
+    :param code: error code of a refusal
+    """
+
+    entry: str
+    request_id: str
+    prefix: str
+    safe: bool
+    sent_at: float
+    ended_at: float
+    status: int | None
+    code: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Run:
+    """One request that an upstream ran.
+
+    :param request_id: id of the request
+    :param service: service of the upstream
+    :param instance: id of the upstream
+    :param started_at: time in s at which it began
+    """
+
+    request_id: str
+    service: str
+    instance: str
+    started_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Finding:
+    """A broken rule.
+
+    :param rule: name of the rule
+    :param text: what was seen
+    """
+
+    rule: str
+    text: str
+
+
+class History:
+    """Everything that happened in a soak.
+
+    :param bounds: :class:`Bounds`
+    """
+
+    def __init__(self, *, bounds):
+        self.bounds = bounds
+        self.changes = []
+        self.responses = []
+        self.runs = []
+        # Times in s at which the store acknowledged that an upstream leaves, by id.
+        self.leaving = {}
+        # Intervals in s with trouble, by name of the entry; ``None`` for the store.
+        self.troubles = {}
+        # Time in s of the SIGTERM of each planned stop, by entry.
+        self.stops = {}
+
+    def begin_trouble(self, entry):
+        """Record that an entry, or the store if ``None``, is in trouble from now on.
+
+        :returns: the interval, whose end is to be set
+        """
+        interval = [time.monotonic(), float("inf")]
+        self.troubles.setdefault(entry, []).append(interval)
+        return interval
+
+    def in_touch(self, entry, started_at, ended_at):
+        """Return whether entry and store were calm from ``stable`` before to the end.
+
+        :param started_at: time in s at which a request was sent
+        :param ended_at: time in s at which it ended
+        """
+        since = started_at - self.bounds.stable
+        return not any(
+            start < ended_at and end > since
+            for key in (entry, None)
+            for start, end in self.troubles.get(key, ())
+        )
+
+    def versions_in_force(self, sent_at, ended_at):
+        """Return the changes by which a request may be handled."""
+        acknowledged = [c.acknowledged_at for c in self.changes]
+        first = bisect.bisect_right(acknowledged, sent_at - self.bounds.apply) - 1
+        return [
+            change
+            for index, change in enumerate(self.changes)
+            if index >= first and change.sent_at <= ended_at
+        ]
+
+
+def find_violations(history):
+    """Return the :class:`Finding` items of a history."""
+    runs = {}
+    for run in history.runs:
+        runs.setdefault(run.request_id, []).append(run)
+    findings = []
+    known = set()
+    for response in history.responses:
+        known.add(response.request_id)
+        own_runs = runs.get(response.request_id, [])
+        for check in (check_configuration, check_runs, check_stop, check_drain):
+            findings += check(history, response, own_runs)
+    for request_id in runs.keys() - known:
+        if not request_id.startswith("open-"):
+            findings.append(
+                Finding(rule="UNASKED", text=f"{request_id} was sent by no caller")
+            )
+    return findings
+
+
+def check_configuration(history, response, runs):
+    """Yield findings on a request that was handled as only an older version allows."""
+    versions = history.versions_in_force(response.sent_at, response.ended_at)
+    services = {change.routes.get(response.prefix) for change in versions}
+    if response.status == NOT_FOUND and None not in services:
+        wrong = "404"
+    else:
+        wrong = ", ".join(
+            f"run by {run.service}" for run in runs if run.service not in services
+        )
+    if not wrong:
+        return
+    age = response.sent_at - newest_acknowledgement(history, response)
+    touched = history.in_touch(response.entry, response.sent_at, response.ended_at)
+    yield Finding(
+        rule="CONFIG" if touched else "CONFIG (out of touch)",
+        text=f"{response.entry} {response.request_id} {response.prefix} sent at "
+        f"{response.sent_at:.3f}: {wrong}; in force {sorted(map(str, services))}, "
+        f"newest version acknowledged {age:.3f} s before",
+    )
+
+
+def newest_acknowledgement(history, response):
+    """Return the time in s at which the newest change before a request took effect."""
+    before = [
+        c.acknowledged_at
+        for c in history.changes
+        if c.acknowledged_at <= response.sent_at - history.bounds.apply
+    ]
+    return before[-1] if before else float("nan")
+
+
+def check_runs(history, response, runs):
+    """Yield findings on how often a request ran, compared with its response."""
+    ran = f"{response.entry} {response.request_id} {response.status}"
+    if len(runs) > 1 and not response.safe:
+        yield Finding(rule="TWICE", text=f"{ran} ran {len(runs)} times")
+    if runs and not response.safe and response.status in NOT_RUN_STATUSES:
+        yield Finding(rule="REFUSED", text=f"{ran} ran all the same")
+
+
+def check_stop(history, response, runs):
+    """Yield findings on requests that a planned stop cut off."""
+    grace = history.bounds.grace
+    if response.status is not None or not runs:
+        return
+    for stopped_at in history.stops.get(response.entry, ()):
+        if stopped_at <= response.ended_at <= stopped_at + grace + 1.0:
+            yield Finding(
+                rule="LOST",
+                text=f"{response.entry} {response.request_id} sent "
+                f"{response.sent_at - stopped_at:.3f} s after SIGTERM was cut off "
+                f"{response.ended_at - stopped_at:.3f} s after it",
+            )
+
+
+def check_drain(history, response, runs):
+    """Yield findings on requests that reached an upstream too long after its notice."""
+    for run in runs:
+        left_at = history.leaving.get(run.instance)
+        if left_at is None or response.sent_at <= left_at + history.bounds.drain:
+            continue
+        if history.in_touch(response.entry, response.sent_at, response.ended_at):
+            yield Finding(
+                rule="DRAIN",
+                text=f"{response.entry} {response.request_id} reached {run.instance} "
+                f"{run.started_at - left_at:.3f} s after its leaving",
+            )
--- /dev/null
+++ b/tools/soak/world.py
@@ -0,0 +1,401 @@
+"""A soak: store, upstreams, callers, entries, an operator and seeded troubles."""
+
+import json
+import multiprocessing
+import pathlib
+import queue
+import random
+import signal
+import threading
+import time
+
+from tools.fleet.processes import find_free_ports
+from tools.soak.callers import HOST, call_entries, prefixes_of
+from tools.soak.fleet import EntryProcess
+from tools.soak.history import Bounds, Change, History
+from tools.soak.upstreams import serve_upstreams
+
+from monsoonline.standin.row_store import RowStoreFaults, RowStoreStandIn
+
+__all__ = ["Plan", "Soak"]
+
+SERVICES = {"desk": "/desk/health", "office": "/office/health"}
+ZONES = ("z1", "z2", "z3")
+PORTS_PER_ENTRY = 5
+UPSTREAM_PROCESSES = 3
+CALLER_PROCESSES = 2
+ROUTE_LIFETIME = 6
+SLOTS = 4
+SETTLE_S = 4.0
+COLLECT_S = 0.5
+# Time that a leaving upstream goes on serving after its notice.
+LEAVING_S = 8.0
+TROUBLES = {}
+
+
+def trouble(name):
+    """Register a method of :class:`Soak` as a kind of trouble."""
+
+    def register(method):
+        TROUBLES[name] = method
+        return method
+
+    return register
+
+
+class Plan:
+    """Size and course of a soak.
+
+    :param seed: seed of all random choices
+    :param seconds: duration
+    :param entries: number of entries
+    :param routes: number of routes beside those that change
+    :param interval_s: time between two versions of the configuration
+    :param callers: number of callers
+    :param pause_s: mean pause of a caller between two requests
+    :param troubles: names of the kinds of trouble to choose from, all when omitted
+    :param gap_s: mean time between the starts of two troubles, which may overlap
+    :param cores: number of processor cores for the entries, 0 for all
+    """
+
+    def __init__(
+        self,
+        *,
+        seed,
+        seconds=60.0,
+        entries=6,
+        routes=300,
+        interval_s=1.5,
+        callers=24,
+        pause_s=0.1,
+        troubles=None,
+        gap_s=3.0,
+        cores=0,
+    ):
+        self.seed, self.seconds = seed, seconds
+        self.entries, self.routes, self.interval_s = entries, routes, interval_s
+        self.callers, self.pause_s = callers, pause_s
+        self.troubles = tuple(TROUBLES if troubles is None else troubles)
+        self.gap_s, self.cores = gap_s, cores
+
+
+class Soak:
+    """Runs one plan.
+
+    :param plan: :class:`Plan`
+    :param folder: folder for settings and logs of the entries
+    """
+
+    def __init__(self, *, plan, folder):
+        self._plan = plan
+        self._folder = pathlib.Path(folder)
+        self._generator = random.Random(plan.seed)
+        self._context = multiprocessing.get_context("spawn")
+        self.history = History(bounds=Bounds())
+        self._store = RowStoreStandIn()
+        self._processes, self._caller_processes = [], []
+        self._entries = {}
+        # Entries with a trouble of their own in progress.
+        self._busy = set()
+        self._registered = []
+        self._reports = self._context.Queue()
+        self._responses = self._context.Queue()
+        self._current = self._context.Value("q", 0)
+        self._stopping = threading.Event()
+        self._callers_stopping = self._context.Event()
+        self._lock = threading.Lock()
+
+    def run(self):
+        """Run the plan and return its :class:`History`."""
+        try:
+            self._start()
+            time.sleep(SETTLE_S)
+            self._run_threads()
+        finally:
+            self._close()
+        return self.history
+
+    def _start(self):
+        plan = self._plan
+        self._store.start()
+        for _ in range(ROUTE_LIFETIME):
+            self._change_configuration()
+        upstreams = 3 * max(4, plan.entries)
+        ports = find_free_ports(upstreams + plan.entries * PORTS_PER_ENTRY)
+        self._start_upstreams(ports[:upstreams])
+        ports = ports[upstreams:]
+        cores = set(range(plan.cores))
+        for number in range(plan.entries):
+            name = f"edge-{number}"
+            self._entries[name] = EntryProcess(
+                name=name,
+                zone=ZONES[number % len(ZONES)],
+                ports=ports[number * PORTS_PER_ENTRY : (number + 1) * PORTS_PER_ENTRY],
+                store=self._store.address,
+                folder=self._folder,
+                grace_s=self.history.bounds.grace,
+                cores=cores,
+            )
+        for entry in self._entries.values():
+            entry.start()
+        for entry in self._entries.values():
+            entry.wait_ready()
+        addresses = {e.name: e.callers_address for e in self._entries.values()}
+        for number in range(CALLER_PROCESSES):
+            process = self._spawn(
+                call_entries,
+                (addresses, self._current, self._callers_stopping, self._responses),
+                callers=plan.callers // CALLER_PROCESSES,
+                lifetime=ROUTE_LIFETIME,
+                pause_s=plan.pause_s,
+                seed=f"{plan.seed}/{number}",
+            )
+            self._caller_processes.append(process)
+
+    def _spawn(self, target, arguments, **fields):
+        """Start a process and return it."""
+        process = self._context.Process(
+            target=target, args=arguments, kwargs=fields, daemon=True
+        )
+        process.start()
+        self._processes.append(process)
+        return process
+
+    def _start_upstreams(self, ports):
+        """Start an upstream on each port.
+
+        Two thirds of them are registered; the others replace those that leave.
+        """
+        specifications = [
+            {
+                "host": "127.0.0.1",
+                "port": port,
+                "instance": f"i-{number}",
+                "service": list(SERVICES)[number % 2],
+                "slots": SLOTS,
+                "health_path": list(SERVICES.values())[number % 2],
+            }
+            for number, port in enumerate(ports)
+        ]
+        for part in range(UPSTREAM_PROCESSES):
+            self._spawn(
+                serve_upstreams,
+                (specifications[part::UPSTREAM_PROCESSES], self._reports),
+            )
+        registered = 2 * len(ports) // 3
+        self._spare = specifications[registered:]
+        for fields in specifications[:registered]:
+            self._register(fields)
+
+    def _register(self, fields, state="ready", sequence=1):
+        self._store.write(
+            "servers",
+            fields["instance"],
+            {
+                "address": f"{fields['host']}:{fields['port']}",
+                "born": 1_700_000_000_000,
+                "info": {
+                    "service": fields["service"],
+                    "version": "v1",
+                    "zone": ZONES[int(fields["instance"][2:]) % len(ZONES)],
+                    "slots": fields["slots"],
+                },
+                "status": {"state": state, "sequence": sequence, "cold_left": "0ms"},
+            },
+        )
+        if state == "ready":
+            self._registered.append(fields)
+
+    def _change_configuration(self):
+        version = self._current.value + 1
+        services = {"/moved/": list(SERVICES)[version // 2 % 2]}
+        services |= {
+            prefix: list(SERVICES)[int(prefix[2:-1]) % 2]
+            for prefix in prefixes_of(version, ROUTE_LIFETIME)
+        }
+        fixed = {f"/fixed{n}/": "desk" for n in range(self._plan.routes)}
+        routes = [
+            {
+                "name": f"r{prefix}",
+                "hostname": HOST,
+                "prefix": prefix,
+                "kind": "unsafe" if prefix == "/moved/" else "safe",
+                "timeout": "2500ms",
+                "latency_goal": "600ms",
+                "priority": 1,
+                "service": service,
+                "max_attempts": 2,
+            }
+            for prefix, service in (services | fixed).items()
+        ]
+        document = {
+            "version": f"{version:08x}",
+            "routes": routes,
+            "services": [
+                {"name": name, "health_path": path, "max_connections": 318}
+                for name, path in SERVICES.items()
+            ],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
+        }
+        content = json.dumps(document).encode()
+        sent_at = time.monotonic()
+        self._current.value = version
+        self._store.write("op", "config", content)
+        self.history.changes.append(
+            Change(sent_at=sent_at, acknowledged_at=time.monotonic(), routes=services)
+        )
+
+    def _run_threads(self):
+        threads = [threading.Thread(target=self._collect)]
+        threads.append(threading.Thread(target=self._run_operator))
+        if self._plan.troubles:
+            threads.append(threading.Thread(target=self._run_troubles))
+        for thread in threads:
+            thread.start()
+        self._stopping.wait(self._plan.seconds)
+        self._stopping.set()
+        self._callers_stopping.set()
+        for thread in threads:
+            thread.join()
+
+    def _run_operator(self):
+        generator = random.Random(f"{self._plan.seed}/operator")
+        interval = self._plan.interval_s
+        while not self._stopping.wait(interval * generator.uniform(0.3, 1.7)):
+            self._change_configuration()
+
+    def _run_troubles(self):
+        threads = []
+        while not self._stopping.wait(self._generator.uniform(0, 2 * self._plan.gap_s)):
+            method = TROUBLES[self._generator.choice(self._plan.troubles)]
+            threads.append(
+                threading.Thread(
+                    target=method, args=(self, self._generator.getrandbits(64))
+                )
+            )
+            threads[-1].start()
+        for thread in threads:
+            thread.join()
+
+    def _collect(self):
+        """Read the reports of the other processes until the callers have ended."""
+        while any(process.is_alive() for process in self._caller_processes):
+            self._read_reports()
+        time.sleep(COLLECT_S)
+        self._read_reports()
+
+    def _read_reports(self):
+        for source, target in (
+            (self._reports, self.history.runs),
+            (self._responses, self.history.responses),
+        ):
+            try:
+                while True:
+                    target += source.get(timeout=0.05)
+            except queue.Empty:
+                continue
+
+    def _close(self):
+        self._stopping.set()
+        for process in self._processes:
+            process.kill()
+        for entry in self._entries.values():
+            entry.kill()
+        self._store.close()
+
+    # Troubles
+
+    def _take_entry(self, generator):
+        """Return an entry without a trouble in progress, ``None`` if there is none."""
+        with self._lock:
+            free = sorted(set(self._entries) - self._busy)
+            if not free:
+                return None
+            name = generator.choice(free)
+            self._busy.add(name)
+            return self._entries[name]
+
+    def _trouble_entry(self, seed, disturb):
+        """Disturb one entry, and record the interval."""
+        generator = random.Random(seed)
+        entry = self._take_entry(generator)
+        if entry is None:
+            return
+        interval = self.history.begin_trouble(entry.name)
+        try:
+            disturb(entry, generator)
+        finally:
+            interval[1] = time.monotonic()
+            with self._lock:
+                self._busy.discard(entry.name)
+
+    @trouble("kill")
+    def _kill(self, seed):
+        def disturb(entry, generator):
+            entry.kill()
+            time.sleep(generator.uniform(0.05, 1.0))
+            entry.start()
+
+        self._trouble_entry(seed, disturb)
+
+    @trouble("stop")
+    def _stop(self, seed):
+        def disturb(entry, generator):
+            self.history.stops.setdefault(entry.name, []).append(time.monotonic())
+            entry.terminate()
+            time.sleep(generator.uniform(0.05, 0.5))
+            entry.start()
+
+        self._trouble_entry(seed, disturb)
+
+    @trouble("pause")
+    def _pause(self, seed):
+        def disturb(entry, generator):
+            entry.signal(signal.SIGSTOP)
+            time.sleep(generator.uniform(0.3, 5.0))
+            entry.signal(signal.SIGCONT)
+
+        self._trouble_entry(seed, disturb)
+
+    @trouble("hup")
+    def _hang_up(self, seed):
+        entry = self._entries[random.Random(seed).choice(sorted(self._entries))]
+        entry.signal(signal.SIGHUP)
+
+    @trouble("store")
+    def _disturb_store(self, seed):
+        generator = random.Random(seed)
+        interval = self.history.begin_trouble(None)
+        self._store.faults = generator.choice(
+            (
+                RowStoreFaults(status=503),
+                RowStoreFaults(delay_ms=200.0),
+                RowStoreFaults(delay_ms=3_000.0),
+                RowStoreFaults(lose_responses=True),
+            )
+        )
+        time.sleep(generator.uniform(0.5, 4.0))
+        self._store.faults = RowStoreFaults()
+        interval[1] = time.monotonic()
+
+    @trouble("row")
+    def _write_odd_row(self, seed):
+        generator = random.Random(seed)
+        content = generator.choice(
+            (b"[" * 5_000, b'{"info":{"slots":NaN}}', b"\xff", b'{"a":1e400}')
+        )
+        self._store.write("servers", f"odd-{generator.randrange(3)}", content)
+
+    @trouble("leave")
+    def _leave(self, seed):
+        generator = random.Random(seed)
+        with self._lock:
+            if not self._spare or len(self._registered) < 3:
+                return
+            fields = self._registered.pop(generator.randrange(len(self._registered)))
+            replacement = self._spare.pop()
+        self._register(replacement)
+        self._register(fields, state="draining", sequence=2)
+        self.history.leaving[fields["instance"]] = time.monotonic()
+        time.sleep(LEAVING_S)
+        self._store.remove("servers", fields["instance"])
