Log by which tables a request was refused, and how old they are

Why: the users' record shows refusals that only an older version allows. The logs did not tell whether the entry had not heard of the newer version, had not applied it yet, or had lost it again.

Change: a refusal names the revision, the time since it came into effect and the age of the newest known read of the store. The line on new tables tells their source and how long it took to apply them; both are metrics too.

Evidence: test_refusal_names_the_tables_and_their_age.

--- a/src/monsoonline/core/decision_events.py
+++ b/src/monsoonline/core/decision_events.py
@@ -102,6 +102,10 @@
     :param retry_after_ms: retry delay sent to the caller, ``None`` if it is told not to
         retry
     :param reason: human-readable explanation
+    :param tables_revision: revision of the tables in effect, 0 before the first
+    :param tables_age_ms: time since they came into effect, ``None`` before the first
+    :param read_age_ms: age of the newest read of the store that this entry knows of,
+        its own or another's, ``None`` without one
     """
 
     message = "request refused"
@@ -110,6 +114,9 @@
     status: int
     retry_after_ms: float | None
     reason: str
+    tables_revision: int = 0
+    tables_age_ms: float | None = None
+    read_age_ms: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/monsoonline/core/read_schedule.py
+++ b/src/monsoonline/core/read_schedule.py
@@ -55,6 +55,13 @@
         """Start in ms of the newest known successful read, ``None`` without one."""
         return self._read_at
 
+    def read_age_ms(self, now):
+        """Return the age of the newest known successful read, ``None`` without one.
+
+        :param now: current time in ms
+        """
+        return None if self._read_at is None else now - self._read_at
+
     def record_read(self, at):
         """Record a successful read by this or another entry.
 
--- a/src/monsoonline/entry/fleet_link.py
+++ b/src/monsoonline/entry/fleet_link.py
@@ -360,8 +360,8 @@
         )
 
     def _read_age_ms(self):
-        read_at = self._schedule.read_at
-        return None if read_at is None else round(self._clock.now() - read_at)
+        age_ms = self._schedule.read_age_ms(self._clock.now())
+        return None if age_ms is None else round(age_ms)
 
     def _send_failures(self):
         while not self._stopping.wait(FAILURE_NOTICE_INTERVAL_MS / 1e3):
--- a/src/monsoonline/entry/fleet_service.py
+++ b/src/monsoonline/entry/fleet_service.py
@@ -133,12 +133,14 @@
             fleet=self._fleet,
             send=self._send_message,
             admit_until=self._admit_until,
+            read_age_ms=self._read_age_ms,
         )
         self._state = SharedState(
             decode_tables=dialect.decode_tables,
             on_tables=self._use_tables,
             on_registrations=self._relay.use_registrations,
             metrics=self._metrics,
+            clock=self._clock,
         )
         self._schedule = ReadSchedule(name=settings.name)
         self._link = FleetLink(
@@ -305,6 +307,9 @@
         # Isolated and restarting entries use their share of a budget too.
         return 1 + len(self._fleet.others())
 
+    def _read_age_ms(self):
+        return self._schedule.read_age_ms(self._clock.now())
+
     def _admit_until(self, deadline):
         self._lifecycle.admit_until(deadline)
 
--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -77,6 +77,8 @@
     :param admit_until: called with the deadline of each request before its first
         attempt; raises a ``NOT_RUN`` :class:`monsoonline.errors.Refusal` if this entry
         may end before it. All requests are admitted when omitted
+    :param read_age_ms: returns the age in ms of the newest known read of the store,
+        ``None`` without one
     :param decisions: :class:`monsoonline.core.request_decisions.RequestDecisions`,
         the default ones when omitted
     :param poller: returns a poll object with the interface of :func:`select.poll`, used
@@ -101,6 +103,7 @@
         fleet=None,
         send=None,
         admit_until=lambda deadline: None,
+        read_age_ms=lambda: None,
         decisions=None,
         poller=select.poll,
     ):
@@ -112,6 +115,7 @@
         self._entries = entries
         self._crashes = crashes
         self._admit_until = admit_until
+        self._read_age_ms = read_age_ms
         self._metrics = metrics
         self._shares = ShareChooser(generator=decisions.generator)
         self._decision_log = DecisionLog(clock=clock, metrics=metrics)
@@ -247,6 +251,9 @@
                     status=status,
                     retry_after_ms=refusal.retry_after_ms,
                     reason=str(refusal),
+                    tables_revision=self._pools.tables_revision,
+                    tables_age_ms=self._pools.tables_age_ms,
+                    read_age_ms=self._read_age_ms(),
                 )
             )
             raise
--- a/src/monsoonline/entry/served_pools.py
+++ b/src/monsoonline/entry/served_pools.py
@@ -69,6 +69,7 @@
         self._on_failure = on_failure
         self._lock = threading.Lock()
         self._tables = None
+        self._tables_applied_at = None
         self._route_table = RouteTable(routes=())
         self._registrations = {}
         self._pools = {}
@@ -84,6 +85,13 @@
         """Revision of the tables in effect, 0 before the first ones."""
         return 0 if self._tables is None else self._tables.revision
 
+    @property
+    def tables_age_ms(self):
+        """Time since the tables came into effect, ``None`` before the first ones."""
+        if self._tables_applied_at is None:
+            return None
+        return self._clock.now() - self._tables_applied_at
+
     def match(self, request):
         """Return the route of a request, or ``None``."""
         return self._route_table.match(request)
@@ -106,6 +114,7 @@
                 self._note_priority(route)
             self._update_views()
             self._route_table = RouteTable(routes=tables.routes.values())
+            self._tables_applied_at = self._clock.now()
 
     def use_budget(self, budget):
         """Apply changed :class:`monsoonline.core.retry_budget.RetryLimits`."""
--- a/src/monsoonline/entry/shared_state.py
+++ b/src/monsoonline/entry/shared_state.py
@@ -3,6 +3,7 @@
 import logging
 import threading
 
+from monsoonline.clock import SystemClock
 from monsoonline.core.fleet_messages import SharedStateCopy
 from monsoonline.core.registrations import RegistrationDelta, RegistrationList
 from monsoonline.errors import FindingsError
@@ -23,9 +24,13 @@
     :param on_tables: called with newer tables
     :param on_registrations: called with the registrations by instance after a change
     :param metrics: counters
+    :param clock: source of time
     """
 
-    def __init__(self, *, decode_tables, on_tables, on_registrations, metrics):
+    def __init__(
+        self, *, decode_tables, on_tables, on_registrations, metrics, clock=None
+    ):
+        self._clock = clock or SystemClock()
         self._decode_tables = decode_tables
         self._on_tables = on_tables
         self._on_registrations = on_registrations
@@ -57,7 +62,7 @@
         """Whether tables and registrations are known, as serving requests requires."""
         return bool(self._tables_revision and self._registrations.revision)
 
-    def use_tables(self, revision, content):
+    def use_tables(self, revision, content, *, source="store"):
         """Apply stored tables if they are newer.
 
         Invalid tables are logged with all their findings and never applied. After an
@@ -66,7 +71,9 @@
 
         :param revision: revision of the tables in the store
         :param content: tables as stored, in bytes
+        :param source: where they were read, ``store`` or ``entry``
         """
+        started = self._clock.now()
         with self._lock:
             if revision <= max(self._tables_revision, self._invalid_revision):
                 return
@@ -89,7 +96,19 @@
                 return
             self._tables_revision = revision
             self._stored_tables = content
-        logger.info("tables in effect", extra={"revision": revision})
+        # Includes the wait for the lock and for the processor.
+        apply_ms = self._clock.now() - started
+        self._metrics.gauge("tables_revision", revision)
+        self._metrics.observe("tables_apply_ms", apply_ms)
+        logger.info(
+            "tables in effect",
+            extra={
+                "revision": revision,
+                "source": source,
+                "apply_ms": round(apply_ms, 1),
+                "bytes": len(content),
+            },
+        )
 
     def use_listing(self, listing, *, now, ms_since_store_failure):
         """Apply registrations that this entry read from the store.
@@ -125,7 +144,7 @@
     def use_copy(self, copy):
         """Apply the parts of another entry's complete state that are newer."""
         if copy.tables:
-            self.use_tables(copy.tables_revision, copy.tables)
+            self.use_tables(copy.tables_revision, copy.tables, source="entry")
         if copy.registrations is None:
             return
         with self._lock:
--- a/tests/entry/test_placed_relay.py
+++ b/tests/entry/test_placed_relay.py
@@ -474,6 +474,20 @@
         self.assertEqual(refusal.outcome, Outcome.NOT_RUN)
 
 
+class TestRefusalLines(RelayTest):
+    """A refusal tells by which tables it was decided."""
+
+    def test_refusal_names_the_tables_and_their_age(self):
+        """Guards against refusals that no log can tell from those of older tables."""
+        relay = self.relay_to(Target("i1"))
+        with self.assertLogs("monsoonline.decision_log") as captured:
+            self.refused(relay, self.request("/none/1"))
+        line = next(r for r in captured.records if r.message == "request refused")
+        self.assertEqual((line.code, line.tables_revision), ("no-route", 1))
+        self.assertGreaterEqual(line.tables_age_ms, 0.0)
+        self.assertIsNone(line.read_age_ms)
+
+
 class TestEndlessResponses(RelayTest):
     """A caller gets its answer in time although an upstream sends without end."""
 
