--- a/src/monsoonline/adapters/fleet_codec.py
+++ b/src/monsoonline/adapters/fleet_codec.py
@@ -6,6 +6,7 @@
 """
 
 import base64
+import functools
 import json
 import math
 import zlib
@@ -23,12 +24,20 @@
 from monsoonline.core.strict_json import parse_strict_json
 from monsoonline.types import LoadReport
 
-__all__ = ["decode_datagram", "decode_state", "encode_datagram", "encode_state"]
+__all__ = [
+    "TABLES_COMPRESSION",
+    "decode_datagram",
+    "decode_state",
+    "encode_datagram",
+    "encode_state",
+]
 
 COMPRESSED_PREFIX = b"z"
 JSON_PREFIX = b"j"
 MIN_COMPRESSED_BYTES = 200
 MAX_DECODED_BYTES = 16 << 20
+# Name of the compression of tables in a transferred state.
+TABLES_COMPRESSION = "zlib"
 
 # Raised by the conversions below for values of another type or out of range.
 INVALID_VALUE_ERRORS = (
@@ -370,6 +379,18 @@
     return COMPRESSED_PREFIX + zlib.compress(content)
 
 
+def inflate(content):
+    """Return decompressed bytes.
+
+    :raises ValueError: when they are corrupt; larger content is cut off at
+        ``MAX_DECODED_BYTES``
+    """
+    try:
+        return zlib.decompressobj().decompress(content, MAX_DECODED_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"corrupt compressed content: {error}") from error
+
+
 def decompress(content):
     """Return the JSON values that the bytes encode.
 
@@ -378,11 +399,7 @@
     """
     prefix, body = content[:1], content[1:]
     if prefix == COMPRESSED_PREFIX:
-        decompressor = zlib.decompressobj()
-        try:
-            body = decompressor.decompress(body, MAX_DECODED_BYTES)
-        except zlib.error as error:
-            raise ValueError(f"corrupt compressed message: {error}") from error
+        body = inflate(body)
     elif prefix != JSON_PREFIX:
         raise ValueError(
             f"message prefix {prefix!r}, expected {JSON_PREFIX!r} or "
@@ -408,13 +425,43 @@
         raise ValueError(f"invalid message between entries: {error!r}") from error
 
 
-def encode_state(state):
-    """Return a :class:`SharedStateCopy` as bytes."""
+@functools.lru_cache(maxsize=1)
+def pack_tables(content):
+    """Return stored tables as a list, compressed.
+
+    Cached, because all entries fetch new tables from the entry that has read them, at
+    the same moment.
+    """
+    return [TABLES_COMPRESSION, base64.b64encode(zlib.compress(content)).decode()]
+
+
+def unpack_tables(packed):
+    """Return the stored tables that are packed in a list, or plain in a string.
+
+    :raises ValueError: when the compression is unknown, or the tables are too large
+    """
+    if isinstance(packed, str):
+        return base64.b64decode(packed)
+    compression, text = packed
+    if compression != TABLES_COMPRESSION:
+        raise ValueError(f"compression {compression!r}, expected 'zlib'")
+    return inflate(base64.b64decode(text))
+
+
+def encode_state(state, *, compress_tables=False):
+    """Return a :class:`SharedStateCopy` as bytes.
+
+    :param state: the copy
+    :param compress_tables: whether the receiver reads compressed tables
+    """
     registrations = state.registrations
+    tables = base64.b64encode(state.tables).decode()
+    if compress_tables and state.tables:
+        tables = pack_tables(state.tables)
     return compress(
         [
             state.tables_revision,
-            base64.b64encode(state.tables).decode(),
+            tables,
             state.registrations_revision,
             None
             if registrations is None
@@ -437,7 +484,7 @@
         )
         return messages.SharedStateCopy(
             tables_revision=unpack_integer(tables_revision),
-            tables=base64.b64decode(tables),
+            tables=unpack_tables(tables),
             registrations_revision=unpack_integer(revision),
             registrations=None
             if registrations is None
--- a/src/monsoonline/core/checked_fields.py
+++ b/src/monsoonline/core/checked_fields.py
@@ -42,6 +42,11 @@
             document = {}
         self._document = document
 
+    @property
+    def document(self):
+        """The decoded JSON object, empty if the value was none."""
+        return self._document
+
     @property
     def findings(self):
         """The findings recorded so far."""
--- a/src/monsoonline/core/strict_json.py
+++ b/src/monsoonline/core/strict_json.py
@@ -41,8 +41,9 @@
 
     Brackets that do not match count as nested, since the content is not JSON then.
     """
-    without_escapes = content.replace(rb"\\", b"").replace(rb"\"", b"")
-    outside_strings = b"".join(without_escapes.split(b'"')[::2])
+    if b"\\" in content:
+        content = content.replace(rb"\\", b"").replace(rb"\"", b"")
+    outside_strings = b"".join(content.split(b'"')[::2])
     brackets = outside_strings.translate(None, NOT_BRACKETS)
     for _ in range(MAX_DEPTH):
         if not brackets:
--- a/src/monsoonline/entry/fleet_link.py
+++ b/src/monsoonline/entry/fleet_link.py
@@ -8,6 +8,7 @@
 import urllib.parse
 
 from monsoonline.adapters.fleet_codec import (
+    TABLES_COMPRESSION,
     decode_datagram,
     decode_state,
     encode_datagram,
@@ -196,7 +197,9 @@
             read_age_ms=self._read_age_ms(),
             members=self._all_member_ages(),
         )
-        return Answer(status=200, body=encode_state(copy))
+        # Entries of earlier versions read plain tables only.
+        compressed = query.get("compression") == TABLES_COMPRESSION
+        return Answer(status=200, body=encode_state(copy, compress_tables=compressed))
 
     def fetch_state(self, peer_address):
         """Fetch the state of another entry and apply it.
@@ -212,6 +215,7 @@
             {
                 "tables": self._state.tables_revision,
                 "registrations": self._state.registrations_digest,
+                "compression": TABLES_COMPRESSION,
             }
         )
         try:
--- a/src/monsoonline/entry/served_pools.py
+++ b/src/monsoonline/entry/served_pools.py
@@ -1,5 +1,6 @@
 """State that an entry keeps of its pools, their upstreams and its routes' work."""
 
+import collections
 import threading
 
 from monsoonline.adapters.upstream_sessions import Probe
@@ -29,10 +30,20 @@
     :param probe: :class:`monsoonline.adapters.upstream_sessions.Probe` of its upstreams
     :param allowance: its :class:`ProbeAllowance`
     :param overload_detector: its :class:`monsoonline.core.overload.OverloadDetector`
+    :param priorities: priority numbers of the routes to the pool; the lowest is the
+        most urgent
     """
 
     def __init__(
-        self, *, pool, view, retry_budget, probe, allowance, overload_detector
+        self,
+        *,
+        pool,
+        view,
+        retry_budget,
+        probe,
+        allowance,
+        overload_detector,
+        priorities,
     ):
         self.pool = pool
         self.view = view
@@ -41,8 +52,7 @@
         self.allowance = allowance
         self.overload_detector = overload_detector
         self.return_schedule = ReturnSchedule()
-        # Priority numbers of the routes to the pool; the lowest is the most urgent.
-        self.priorities = frozenset()
+        self.priorities = priorities
 
     def rank_of(self, route):
         """Return how many priorities of the pool are more urgent than a route's."""
@@ -105,15 +115,19 @@
         with self._lock:
             if self._tables is not None and tables.revision <= self._tables.revision:
                 return
-            self._tables = tables
-            self._pools = {
-                name: self._update_or_create(pool)
+            route_table = RouteTable(routes=tables.routes.values())
+            priorities = priorities_of(tables.routes.values())
+            pools = {
+                name: self._update_or_create(pool, priorities.get(name, frozenset()))
                 for name, pool in tables.pools.items()
             }
-            for route in tables.routes.values():
-                self._note_priority(route)
-            self._update_views()
-            self._route_table = RouteTable(routes=tables.routes.values())
+            self._update_views(pools)
+            # Requests may be matched meanwhile, by the former routes and then by the
+            # new ones, and find the pools of both.
+            self._pools = self._pools | pools
+            self._route_table = route_table
+            self._tables = tables
+            self._pools = pools
             self._tables_applied_at = self._clock.now()
 
     def use_budget(self, budget):
@@ -127,7 +141,7 @@
         """Replace the registrations of upstreams, given by instance."""
         with self._lock:
             self._registrations = registrations
-            self._update_views()
+            self._update_views(self._pools)
 
     def served(self):
         """Return all :class:`ServedPool` items."""
@@ -210,13 +224,13 @@
         if used_share <= NEARLY_FULL_SHARE:
             work.observe(latency_ms, slowdown=pace)
 
-    def _update_or_create(self, pool):
+    def _update_or_create(self, pool, priorities):
         existing = self._pools.get(pool.name)
         probe = Probe(path=pool.measuring.path, names=self._names)
         if existing is not None:
             existing.pool = pool
             existing.probe = probe
-            existing.priorities = frozenset()
+            existing.priorities = priorities
             return existing
         return ServedPool(
             pool=pool,
@@ -227,19 +241,22 @@
             probe=probe,
             allowance=ProbeAllowance(now=self._clock.now()),
             overload_detector=self._decisions.overload_detector(),
+            priorities=priorities,
         )
 
-    def _note_priority(self, route):
-        names = [share.pool for share in route.shares] or [route.pool]
-        for name in names:
-            served = self._pools.get(name)
-            if served is not None:
-                served.priorities |= {route.priority}
-
-    def _update_views(self):
-        by_pool = {name: [] for name in self._pools}
+    def _update_views(self, pools):
+        by_pool = {name: [] for name in pools}
         for registration in self._registrations.values():
             if registration.pool in by_pool:
                 by_pool[registration.pool].append(registration)
-        for name, served in self._pools.items():
+        for name, served in pools.items():
             served.view.update(by_pool[name])
+
+
+def priorities_of(routes):
+    """Return the priorities of the routes to each pool by the pool's name."""
+    priorities = collections.defaultdict(set)
+    for route in routes:
+        for name in [share.pool for share in route.shares] or [route.pool]:
+            priorities[name].add(route.priority)
+    return {name: frozenset(found) for name, found in priorities.items()}
--- a/src/monsoonline/platform/documents.py
+++ b/src/monsoonline/platform/documents.py
@@ -20,6 +20,7 @@
 from monsoonline.errors import Finding, FindingsError
 
 __all__ = [
+    "TablesDecoder",
     "decode_member",
     "decode_registration",
     "decode_tables",
@@ -59,20 +60,50 @@
         the ``version`` in the document is informational only
     :raises FindingsError: if the configuration is invalid, with all findings
     """
-    fields = CheckedFields(
-        parse_json(content, CONFIGURATION_PLACE), place=CONFIGURATION_PLACE
-    )
-    pools = {}
-    for row in fields.children("services"):
-        pool = decode_pool(row)
-        pools[pool.name] = pool
-    routes = {}
-    for row in fields.children("routes"):
-        route = decode_route(row)
-        routes[route.name] = route
-    limits = decode_limits(fields.child("limits"))
-    fields.finish()
-    return Tables(revision=revision, routes=routes, pools=pools, limits=limits)
+    return TablesDecoder().decode(content, revision)
+
+
+class TablesDecoder:
+    """Decodes successive configurations, of which few routes differ.
+
+    Checking 2,000 routes takes longer than everything else that a new configuration
+    needs, so routes whose document has not changed are taken from the last one.
+    """
+
+    def __init__(self):
+        # Valid routes of the last configuration by name, with their documents.
+        self._known = {}
+
+    def decode(self, content, revision):
+        """Return the :class:`Tables` of the operator's configuration.
+
+        :param content: the bytes as stored
+        :param revision: the store's revision of the row
+        :raises FindingsError: if the configuration is invalid, with all findings
+        """
+        document = parse_json(content, CONFIGURATION_PLACE)
+        fields = CheckedFields(document, place=CONFIGURATION_PLACE)
+        pools = {}
+        for row in fields.children("services"):
+            pool = decode_pool(row)
+            pools[pool.name] = pool
+        routes, known = {}, {}
+        for row in fields.children("routes"):
+            route = self._find_known(row.document) or decode_route(row)
+            routes[route.name] = route
+            known[route.name] = (row.document, route)
+        limits = decode_limits(fields.child("limits"))
+        fields.finish()
+        self._known = known
+        return Tables(revision=revision, routes=routes, pools=pools, limits=limits)
+
+    def _find_known(self, document):
+        """Return the route of an equal document of the last configuration, if any."""
+        name = document.get("name")
+        known = self._known.get(name) if isinstance(name, str) else None
+        if known is None or known[0] != document:
+            return None
+        return known[1]
 
 
 def decode_pool(fields):
--- a/src/monsoonline/platform/main.py
+++ b/src/monsoonline/platform/main.py
@@ -27,7 +27,7 @@
 )
 from monsoonline.logs import configure_logging  # noqa: E402
 from monsoonline.platform import headers  # noqa: E402
-from monsoonline.platform.documents import decode_tables  # noqa: E402
+from monsoonline.platform.documents import TablesDecoder  # noqa: E402
 from monsoonline.platform.store import PlatformStore  # noqa: E402
 
 __all__ = ["DIALECT", "main"]
@@ -41,7 +41,7 @@
 DIALECT = Dialect(
     names=headers.HEADERS,
     parse_load=headers.parse_load,
-    decode_tables=decode_tables,
+    decode_tables=TablesDecoder().decode,
     refusal_response=headers.refusal_response,
     readiness_path=headers.READINESS_PATH,
     discovery_path=headers.DISCOVERY_PATH,
--- a/tests/adapters/test_fleet_codec.py
+++ b/tests/adapters/test_fleet_codec.py
@@ -12,6 +12,7 @@
     encode_datagram,
     encode_state,
     pack_registration,
+    pack_tables,
     unpack_registration,
 )
 from monsoonline.core.crashes import CrashReport
@@ -114,11 +115,34 @@
                 read_age_ms=None,
                 members=(MemberAge(member=member("b"), age_ms=3.0),),
             )
-            self.assertEqual(decode_state(encode_state(state)), state)
+            for compressed in (False, True):
+                content = encode_state(state, compress_tables=compressed)
+                self.assertEqual(decode_state(content), state)
+
+    def test_tables_are_compressed_once_for_all_receivers(self):
+        """Guards against versions in force too late: all entries fetch them at once."""
+        state = SharedStateCopy(
+            tables_revision=5,
+            tables=b'{"routes": [%s]}' % (b"{}," * 5_000),
+            registrations_revision=9,
+            registrations=None,
+            read_age_ms=None,
+            members=(),
+        )
+        pack_tables.cache_clear()
+        for _ in range(20):
+            encode_state(state, compress_tables=True)
+        self.assertEqual(pack_tables.cache_info().misses, 1)
 
     def test_corrupt_state_is_rejected(self):
-        with self.assertRaises(ValueError):
-            decode_state(b"j[1,2]")
+        for content in (
+            b"j[1,2]",
+            compress([5, ["zlib", "AAAA"], 9, None, None, []]),
+            compress([5, ["other", ""], 9, None, None, []]),
+            compress([5, {}, 9, None, None, []]),
+        ):
+            with self.subTest(content), self.assertRaises(ValueError):
+                decode_state(content)
 
 
 def leaves(document, path=()):
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -2,12 +2,15 @@
 
 import json
 import unittest
+from unittest import mock
 
 from monsoonline.core.model import PoolShare
 from monsoonline.errors import FindingsError
 from monsoonline.platform.documents import (
+    TablesDecoder,
     decode_member,
     decode_registration,
+    decode_route,
     decode_tables,
     encode_member,
 )
@@ -93,6 +96,47 @@
             decode_tables(b"{", 1)
 
 
+class TestTablesDecoder(unittest.TestCase):
+    """Successive configurations are decoded as if each was the first."""
+
+    def setUp(self):
+        self.decoder = TablesDecoder()
+        self.routes = [ROUTE | {"name": f"r{n}", "prefix": f"/{n}/"} for n in range(20)]
+
+    def decode(self, revision, routes):
+        content = json.dumps(CONFIGURATION | {"routes": routes}).encode()
+        tables = self.decoder.decode(content, revision)
+        self.assertEqual(tables, decode_tables(content, revision))
+        return tables
+
+    def test_only_changed_routes_are_checked_again(self):
+        """Guards against versions in force too late: checking all took most time."""
+        self.decode(1, self.routes)
+        changed = [*self.routes[1:], ROUTE, self.routes[3] | {"timeout": "5s"}]
+        content = json.dumps(CONFIGURATION | {"routes": changed}).encode()
+        with mock.patch(
+            "monsoonline.platform.documents.decode_route", side_effect=decode_route
+        ) as checked:
+            tables = self.decoder.decode(content, 2)
+        self.assertEqual(checked.call_count, 2)
+        self.assertEqual(tables, decode_tables(content, 2))
+
+    def test_route_that_returns_or_changes_back_is_decoded_as_it_is_now(self):
+        self.decode(1, self.routes)
+        self.decode(2, self.routes[5:])
+        self.decode(3, self.routes)
+        self.decode(4, [self.routes[0] | {"service": "s2"}])
+        self.assertEqual(self.decode(5, self.routes).routes["r0"].pool, "s1")
+
+    def test_invalid_configuration_leaves_no_trace(self):
+        self.decode(1, self.routes)
+        with self.assertRaises(FindingsError):
+            self.decode(2, [self.routes[0] | {"timeout": "soon"}, *self.routes[1:]])
+        with self.assertRaises(FindingsError):
+            self.decode(3, [None, *self.routes])
+        self.decode(4, self.routes)
+
+
 class TestRegistration(unittest.TestCase):
     """Decoding of a target's row into a registration."""
 
