Let a starting entry serve only once it has caught up

Cause: an entry was ready with the first state that it learned. A neighbour may have had that for long, and newer versions came while it was applied.

Change: StartGate opens when the entry has applied what a read since its start has found, and the newest revision that it has heard of from anyone. Until then requests are refused as not run. Without any read for 1 s it opens with what the entry has. A state that one entry did not send is fetched from another.

Why it works: a version acknowledged before the start is found by any read that begins after it.

--- a/src/monsoonline/entry/fleet_link.py
+++ b/src/monsoonline/entry/fleet_link.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import logging
+import random
 import socket
 import threading
 import urllib.parse
@@ -57,6 +58,7 @@
     :param on_loads: called with each :class:`LoadNotice` of another entry
     :param crashes: :class:`monsoonline.core.crashes.CrashTracker`
     :param permits: :class:`monsoonline.entry.permits.UpstreamPermits`
+    :param gate: :class:`monsoonline.entry.start_gate.StartGate`
     :param metrics: counters
     """
 
@@ -72,8 +74,10 @@
         on_loads,
         crashes,
         permits,
+        gate,
         metrics,
     ):
+        self._gate = gate
         host, _, port = address.rpartition(":")
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((host, int(port)))
@@ -239,7 +243,10 @@
         for item in copy.members:
             self._fleet.update(item.member, now=now, age_ms=item.age_ms)
         self._record_read_age(copy.read_age_ms)
+        self._gate.note_revision(copy.tables_revision)
         self._state.use_copy(copy)
+        if copy.read_age_ms is not None:
+            self._gate.note_read(now - copy.read_age_ms)
         return True
 
     def _count_failure(self):
@@ -291,7 +298,10 @@
             self._handle_heartbeat(message, now)
         elif isinstance(message, ReadNotice):
             self._record_read_age(message.read_age_ms)
+            self._gate.note_revision(message.tables_revision)
             applied = self._state.use_delta(message.delta)
+            if applied:
+                self._gate.note_read(now - message.read_age_ms)
             if not applied or message.tables_revision > self._state.tables_revision:
                 self._request_fetch(message.sender)
         else:
@@ -304,6 +314,7 @@
         for item in heartbeat.members:
             self._fleet.update(item.member, now=now, age_ms=item.age_ms)
         self._record_read_age(heartbeat.read_age_ms)
+        self._gate.note_revision(heartbeat.tables_revision)
         state = self._state
         newer = heartbeat.registrations_revision > state.registrations_revision
         differs = heartbeat.registrations_digest != state.registrations_digest
@@ -326,7 +337,15 @@
             self._fetch_requested.clear()
             if self._stopping.is_set():
                 return
-            self.fetch_state(self._fetch_from.peer_address)
+            if not self.fetch_state(self._fetch_from.peer_address):
+                self._fetch_from_another(self._fetch_from)
+
+    def _fetch_from_another(self, failed):
+        """Fetch the state of a live entry other than the one that did not send it."""
+        others = [m for m in self._fleet.alive(self._clock.now()) if m.ready]
+        others = [m for m in others if m.name != failed.name]
+        if others:
+            self.fetch_state(random.choice(others).peer_address)
 
     # Sending
 
--- a/src/monsoonline/entry/fleet_service.py
+++ b/src/monsoonline/entry/fleet_service.py
@@ -22,6 +22,7 @@
 from monsoonline.entry.lifecycle import EntryState, Lifecycle, StopTimes
 from monsoonline.entry.placed_relay import PlacedRelay
 from monsoonline.entry.shared_state import SharedState
+from monsoonline.entry.start_gate import StartGate
 from monsoonline.entry.store_reader import StoreReader
 from monsoonline.errors import Refusal
 from monsoonline.metrics import Metrics
@@ -134,6 +135,7 @@
             send=self._send_message,
             admit_until=self._admit_until,
             read_age_ms=self._read_age_ms,
+            caught_up=lambda: self.state is not EntryState.STARTING,
         )
         self._state = SharedState(
             decode_tables=dialect.decode_tables,
@@ -142,6 +144,7 @@
             metrics=self._metrics,
             clock=self._clock,
         )
+        self._gate = StartGate(clock=self._clock, state=self._state)
         self._schedule = ReadSchedule(name=settings.name)
         self._link = FleetLink(
             address=listeners.peers,
@@ -153,6 +156,7 @@
             on_loads=self._relay.note_peer_loads,
             crashes=self._crashes,
             permits=self._relay.permits,
+            gate=self._gate,
             metrics=self._metrics,
         )
         self._reader = StoreReader(
@@ -162,6 +166,7 @@
             state=self._state,
             schedule=self._schedule,
             link=self._link,
+            gate=self._gate,
             metrics=self._metrics,
         )
         self._auxiliary_servers = self._make_auxiliary_servers()
@@ -323,9 +328,9 @@
         self._link.send_loads(loads, chosen)
 
     def _wait_for_state(self):
-        """Set the entry ready once the shared state is complete."""
+        """Set the entry ready once it has caught up with the others."""
         while not self._stopping.wait(STATE_CHECK_INTERVAL_MS / 1e3):
-            if self._state.complete:
+            if self._gate.open:
                 self._lifecycle.set_ready()
                 return
 
--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -77,6 +77,7 @@
     :param admit_until: called with the deadline of each request before its first
         attempt; raises a ``NOT_RUN`` :class:`monsoonline.errors.Refusal` if this entry
         may end before it. All requests are admitted when omitted
+    :param caught_up: returns whether this entry may decide by the tables that it has
     :param read_age_ms: returns the age in ms of the newest known read of the store,
         ``None`` without one
     :param decisions: :class:`monsoonline.core.request_decisions.RequestDecisions`,
@@ -104,6 +105,7 @@
         send=None,
         admit_until=lambda deadline: None,
         read_age_ms=lambda: None,
+        caught_up=lambda: True,
         decisions=None,
         poller=select.poll,
     ):
@@ -116,6 +118,7 @@
         self._crashes = crashes
         self._admit_until = admit_until
         self._read_age_ms = read_age_ms
+        self._caught_up = caught_up
         self._metrics = metrics
         self._shares = ShareChooser(generator=decisions.generator)
         self._decision_log = DecisionLog(clock=clock, metrics=metrics)
@@ -279,6 +282,10 @@
     def _create_task(self, request, trail):
         if not self._pools.has_tables:
             raise self._placer.refusal("this entry has no tables yet", "no-tables")
+        if not self._caught_up():
+            raise self._placer.refusal(
+                "this entry has just started and may have old tables", "entry-starting"
+            )
         route = self._pools.match(request)
         if route is None:
             raise Refusal(
--- a/src/monsoonline/entry/shared_state.py
+++ b/src/monsoonline/entry/shared_state.py
@@ -47,6 +47,11 @@
         """Revision of the tables in effect, 0 before the first."""
         return self._tables_revision
 
+    @property
+    def decided_revision(self):
+        """Newest revision of tables that is in effect or was found to be invalid."""
+        return max(self._tables_revision, self._invalid_revision)
+
     @property
     def registrations_revision(self):
         """Revision of the registrations in effect, 0 before the first."""
@@ -75,7 +80,7 @@
         """
         started = self._clock.now()
         with self._lock:
-            if revision <= max(self._tables_revision, self._invalid_revision):
+            if revision <= self.decided_revision:
                 return
             try:
                 self._on_tables(self._decode_tables(content, revision))
--- /dev/null
+++ b/src/monsoonline/entry/start_gate.py
@@ -0,0 +1,48 @@
+"""Decides when a starting entry has caught up with the others and may serve."""
+
+__all__ = ["START_LIMIT_MS", "StartGate"]
+
+# An entry that reaches the store tells the others of a read each 0.7 s. One that hears
+# of none for this time serves what it has, since the store may be away for long.
+START_LIMIT_MS = 1_000.0
+
+
+class StartGate:
+    """Compares what a starting entry has applied with what it has heard of.
+
+    The first state that an entry learns may be old: its neighbour may be cut off, or
+    newer tables may arrive while it still applies a large version.
+
+    :param clock: source of time
+    :param state: :class:`monsoonline.entry.shared_state.SharedState`
+    """
+
+    def __init__(self, *, clock, state):
+        self._clock = clock
+        self._state = state
+        self._started_at = clock.now()
+        self._read_at = float("-inf")
+        self._heard_revision = 0
+
+    @property
+    def open(self):
+        """Whether the entry may serve."""
+        if not self._state.complete:
+            return False
+        if self._clock.now() - self._started_at >= START_LIMIT_MS:
+            return True
+        behind = self._heard_revision > self._state.decided_revision
+        return self._read_at >= self._started_at and not behind
+
+    def note_revision(self, revision):
+        """Record the revision of tables that another entry has, or the store."""
+        self._heard_revision = max(self._heard_revision, revision)
+
+    def note_read(self, at):
+        """Record that all that a read of the store has found is known here.
+
+        Tables may still have to be fetched; see :meth:`note_revision`.
+
+        :param at: clock time in ms at which the read began
+        """
+        self._read_at = max(self._read_at, at)
--- a/src/monsoonline/entry/store_reader.py
+++ b/src/monsoonline/entry/store_reader.py
@@ -28,10 +28,12 @@
     :param state: :class:`monsoonline.entry.shared_state.SharedState`
     :param schedule: :class:`monsoonline.core.read_schedule.ReadSchedule`
     :param link: :class:`monsoonline.entry.fleet_link.FleetLink`
+    :param gate: :class:`monsoonline.entry.start_gate.StartGate`
     :param metrics: counters
     """
 
-    def __init__(self, *, clock, store, fleet, state, schedule, link, metrics):
+    def __init__(self, *, clock, store, fleet, state, schedule, link, gate, metrics):
+        self._gate = gate
         self._clock = clock
         self._store = store
         self._fleet = fleet
@@ -130,9 +132,11 @@
         ms_since_failure = (
             None if self._last_failure_at is None else now - self._last_failure_at
         )
+        self._gate.note_revision(stored.tables_revision)
         if stored.tables is not None:
             self._state.use_tables(stored.tables_revision, stored.tables)
         delta = self._state.use_listing(
             stored.listing, now=now, ms_since_store_failure=ms_since_failure
         )
+        self._gate.note_read(started)
         self._link.send_read_notice(now - started, delta)
--- a/src/monsoonline/report/explanation.py
+++ b/src/monsoonline/report/explanation.py
@@ -17,6 +17,9 @@
     "no-upstream": "no upstream of the pool was reachable; the request did not run",
     "unreachable": "the upstream was not reachable; the request did not run",
     "no-tables": "the entry had no configuration yet; the request did not run",
+    "entry-starting": "the entry had just started and might have had an old "
+    "configuration; the request did not run",
+    "entry-stopping": "the entry might have ended before the request; it did not run",
     "no-route": "no route matches the request; it did not run",
     "no-pool": "the pool of the route does not exist; the request did not run",
     "deadline": "no response arrived before the deadline of the caller or route",
--- a/tests/entry/test_store_reader.py
+++ b/tests/entry/test_store_reader.py
@@ -7,6 +7,7 @@
 from monsoonline.core.read_schedule import ReadSchedule
 from monsoonline.core.registrations import Listing
 from monsoonline.entry.shared_state import SharedState
+from monsoonline.entry.start_gate import StartGate
 from monsoonline.entry.store_reader import StoreReader
 from monsoonline.errors import StoreUnavailable
 from monsoonline.metrics import Metrics
@@ -51,16 +52,18 @@
         self.clock = ManualClock()
         self.store = SwitchedStore()
         metrics = Metrics()
+        state = SharedState(
+            decode_tables=lambda content, revision: content,
+            on_tables=lambda tables: None,
+            on_registrations=lambda registrations: None,
+            metrics=metrics,
+        )
         self.reader = StoreReader(
             clock=self.clock,
             store=self.store,
             fleet=Fleet(own=member("own")),
-            state=SharedState(
-                decode_tables=lambda content, revision: content,
-                on_tables=lambda tables: None,
-                on_registrations=lambda registrations: None,
-                metrics=metrics,
-            ),
+            state=state,
+            gate=StartGate(clock=self.clock, state=state),
             schedule=ReadSchedule(name="own"),
             link=DiscardingLink(),
             metrics=metrics,
--- a/tests/tools/test_soak.py
+++ b/tests/tools/test_soak.py
@@ -68,10 +68,10 @@
         self.assertEqual(self.rules(dropped, runs=[run()]), ["CONFIG"])
 
     def test_trouble_shortly_before_excuses_configuration(self):
-        self.history.troubles["e"] = [(16.0, 17.5)]
+        self.history.troubles["e"] = [(16.0, 17.5, "kill")]
         out_of_touch = self.rules(response(), runs=[run(service="desk")])
         self.assertEqual(out_of_touch, ["CONFIG (out of touch)"])
-        self.history.troubles["e"] = [(10.0, 16.9)]
+        self.history.troubles["e"] = [(10.0, 16.9, "kill")]
         self.assertEqual(self.rules(response(), runs=[run(service="desk")]), ["CONFIG"])
 
     def test_second_runs_and_runs_of_refused_requests(self):
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -112,17 +112,19 @@
         self.runs = []
         # Times in s at which the store acknowledged that an upstream leaves, by id.
         self.leaving = {}
-        # Intervals in s with trouble, by name of the entry; ``None`` for the store.
+        # Trouble by name of the entry, ``None`` for the store: lists of start and end
+        # in s, and the kind.
         self.troubles = {}
         # Time in s of the SIGTERM of each planned stop, by entry.
         self.stops = {}
 
-    def begin_trouble(self, entry):
+    def begin_trouble(self, entry, kind):
         """Record that an entry, or the store if ``None``, is in trouble from now on.
 
-        :returns: the interval, whose end is to be set
+        :param kind: name of the kind of trouble
+        :returns: the interval, whose second item is the end to be set
         """
-        interval = [time.monotonic(), float("inf")]
+        interval = [time.monotonic(), float("inf"), kind]
         self.troubles.setdefault(entry, []).append(interval)
         return interval
 
@@ -136,9 +138,22 @@
         return not any(
             start < ended_at and end > since
             for key in (entry, None)
-            for start, end in self.troubles.get(key, ())
+            for start, end, _ in self.troubles.get(key, ())
         )
 
+    def last_trouble(self, entry, at):
+        """Return a description of the last trouble of an entry or the store."""
+        before = [
+            (end, kind)
+            for key in (entry, None)
+            for start, end, kind in self.troubles.get(key, ())
+            if start <= at
+        ]
+        if not before:
+            return "no trouble before"
+        end, kind = max(before)
+        return f"{kind} ended {at - end:.3f} s before" if end <= at else f"{kind} lasts"
+
     def versions_in_force(self, sent_at, ended_at):
         """Return the changes by which a request may be handled."""
         acknowledged = [c.acknowledged_at for c in self.changes]
@@ -188,7 +203,8 @@
         rule="CONFIG" if touched else "CONFIG (out of touch)",
         text=f"{response.entry} {response.request_id} {response.prefix} sent at "
         f"{response.sent_at:.3f}: {wrong}; in force {sorted(map(str, services))}, "
-        f"newest version acknowledged {age:.3f} s before",
+        f"newest version acknowledged {age:.3f} s before, "
+        f"{history.last_trouble(response.entry, response.sent_at)}",
     )
 
 
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -315,13 +315,13 @@
             self._busy.add(name)
             return self._entries[name]
 
-    def _trouble_entry(self, seed, disturb):
+    def _trouble_entry(self, seed, disturb, kind):
         """Disturb one entry, and record the interval."""
         generator = random.Random(seed)
         entry = self._take_entry(generator)
         if entry is None:
             return
-        interval = self.history.begin_trouble(entry.name)
+        interval = self.history.begin_trouble(entry.name, kind)
         try:
             disturb(entry, generator)
         finally:
@@ -336,7 +336,7 @@
             time.sleep(generator.uniform(0.05, 1.0))
             entry.start()
 
-        self._trouble_entry(seed, disturb)
+        self._trouble_entry(seed, disturb, "kill")
 
     @trouble("stop")
     def _stop(self, seed):
@@ -346,7 +346,7 @@
             time.sleep(generator.uniform(0.05, 0.5))
             entry.start()
 
-        self._trouble_entry(seed, disturb)
+        self._trouble_entry(seed, disturb, "stop")
 
     @trouble("pause")
     def _pause(self, seed):
@@ -355,7 +355,7 @@
             time.sleep(generator.uniform(0.3, 5.0))
             entry.signal(signal.SIGCONT)
 
-        self._trouble_entry(seed, disturb)
+        self._trouble_entry(seed, disturb, "pause")
 
     @trouble("hup")
     def _hang_up(self, seed):
@@ -365,7 +365,7 @@
     @trouble("store")
     def _disturb_store(self, seed):
         generator = random.Random(seed)
-        interval = self.history.begin_trouble(None)
+        interval = self.history.begin_trouble(None, "store")
         self._store.faults = generator.choice(
             (
                 RowStoreFaults(status=503),
