Take a response without a single byte of its body for truncated

What callers saw: a 200 with an empty body, framed as whole, for a response whose connection ended right after its head. Reported by other operators.

Cause: http.client closes a response when a read returns no byte, whatever its length says, and the reader took closed for complete.

Change: the bytes of the body are counted.

Why it works: what has a stated length is complete with that many bytes only.

--- a/src/monsoonline/adapters/http_response.py
+++ b/src/monsoonline/adapters/http_response.py
@@ -205,7 +205,8 @@
         stream, method=method, allow_close_delimited=allow_close_delimited
     )
     parser.begin()
-    if (parser.length or 0) > max_bytes:
+    length = parser.length
+    if (length or 0) > max_bytes:
         raise too_large(max_bytes)
     if parser.chunked:
         body = read_chunked_body(parser, max_bytes)
@@ -216,8 +217,10 @@
     if parser.close_delimited:
         # Only another read distinguishes the end of the connection from a pause.
         body += parser.read(1)
-    if not parser.isclosed():
-        raise http.client.IncompleteRead(body, parser.length)
+    # The parser takes the end of the connection before the first byte of a body for the
+    # end of the response.
+    if not parser.isclosed() or (length is not None and len(body) != length):
+        raise http.client.IncompleteRead(body, (length or len(body)) - len(body))
     headers = remove_hop_by_hop(parser.header_pairs)
     if method == "HEAD" or parser.status == 304:
         lengths = parser.header_values("content-length")
--- a/tests/entry/test_placed_relay.py
+++ b/tests/entry/test_placed_relay.py
@@ -474,6 +474,24 @@
         self.assertEqual(refusal.outcome, Outcome.NOT_RUN)
 
 
+class TestCutResponses(RelayTest):
+    """A caller never gets a part of a response as the whole."""
+
+    def test_response_cut_right_after_its_head_is_a_failure(self):
+        """Guards against a 200 with an empty body, framed as whole."""
+
+        def script(number, request):
+            whole = target.respond(request, body=b"0123456789").content
+            return Reply(content=whole.removesuffix(b"0123456789"), close=True)
+
+        target = Target("i1", replies=script)
+        relay = self.relay_to(target)
+        booking = self.request("/book/1", method="POST", body=b"x")
+        refusal = self.refused(relay, booking)
+        self.assertEqual((refusal.status, refusal.outcome), (502, Outcome.UNKNOWN))
+        self.assertEqual(len(target.executed), 1)
+
+
 class TestRefusalLines(RelayTest):
     """A refusal tells by which tables it was decided."""
 
