Keep an upstream that has left out of use until it starts anew

Cause: a lost heartbeat that the store performs late replaced the report of leaving, since the order of an author's writes was taken from their arrival.

Change: leaving is final for an id and its start time, whoever says otherwise later. Lists and digests between entries are unchanged.

Why it works: every source of registrations passes the same memory before use.

--- a/src/monsoonline/entry/shared_state.py
+++ b/src/monsoonline/entry/shared_state.py
@@ -4,6 +4,7 @@
 import threading
 
 from monsoonline.clock import SystemClock
+from monsoonline.core.departures import Departures
 from monsoonline.core.fleet_messages import SharedStateCopy
 from monsoonline.core.registrations import RegistrationDelta, RegistrationList
 from monsoonline.errors import FindingsError
@@ -40,6 +41,8 @@
         self._stored_tables = b""
         self._invalid_revision = 0
         self._registrations = RegistrationList()
+        self._departures = Departures()
+        # The registrations in effect: those of the list, but none that has left.
         self._published = {}
 
     @property
@@ -184,7 +187,8 @@
     def _publish(self, previous_digest, source):
         if self._registrations.digest == previous_digest:
             return
-        previous, self._published = self._published, self._registrations.registrations
+        previous = self._published
+        self._published = self._departures.apply(self._registrations.registrations)
         self._on_registrations(self._published)
         self._log_changes(previous, self._published, source)
 
--- a/tests/entry/test_shared_state.py
+++ b/tests/entry/test_shared_state.py
@@ -1,5 +1,6 @@
 """Tests of merging the shared state from all sources."""
 
+import dataclasses
 import unittest
 from unittest import mock
 
@@ -117,6 +118,42 @@
         self.state.use_copy(self.copy_of(old))
         self.assertTrue(self.published[-1]["i1"].leaving)
 
+    def test_upstream_that_left_is_never_ready_again(self):
+        """Guards against a heartbeat that the store performs late.
+
+        It makes a leaving upstream, or one that is already gone, ready again.
+        """
+        gone = ()
+        ready, left = registration("i1", born_ms=5), registration("i1", leaving=True)
+        left = dataclasses.replace(left, born_ms=5)
+        for revision, listed in enumerate(((ready,), (left,), (ready,), gone), 20):
+            self.listing(self.state, revision, *listed)
+        self.assertEqual(self.published[-1], {})
+        self.listing(self.state, 30, ready)
+        self.assertTrue(self.published[-1]["i1"].leaving)
+        self.assertEqual(
+            [p["i1"].leaving for p in self.published if p], [False, True, True, True]
+        )
+
+    def test_state_of_another_entry_makes_no_upstream_ready_again(self):
+        """Guards against the word of an entry that read a late heartbeat first."""
+        other = self.make()
+        ready = registration("i1", born_ms=5)
+        self.listing(self.state, 20, dataclasses.replace(ready, leaving=True))
+        self.listing(other, 21, ready)
+        self.state.use_copy(self.copy_of(other))
+        self.assertTrue(self.published[-1]["i1"].leaving)
+        self.assertEqual(self.state.registrations_digest, other.registrations_digest)
+
+    def test_upstream_that_starts_anew_is_ready(self):
+        """Guards against a restarted upstream that is never used again."""
+        ready = registration("i1", born_ms=5)
+        self.listing(self.state, 20, dataclasses.replace(ready, leaving=True))
+        self.listing(self.state, 21, dataclasses.replace(ready, born_ms=6))
+        self.assertFalse(self.published[-1]["i1"].leaving)
+        self.listing(self.state, 22, dataclasses.replace(ready, born_ms=4))
+        self.assertFalse(self.published[-1]["i1"].leaving)
+
     def test_unchanged_listing_publishes_nothing(self):
         """Guards against an update for each heartbeat of an upstream.
 
