Repeat crash reports, so that restarted entries know of them

Cause: a crash was reported once, to the entries live at that moment.

Change: reports go to all known entries, are repeated to two entries each 2 s and to newcomers, and carry their age, so that repeating prolongs no block.

Why it works: whoever lacks a report is sent it by all others in turn until it expires.

--- a/src/monsoonline/core/checked_fields.py
+++ b/src/monsoonline/core/checked_fields.py
@@ -10,7 +10,7 @@
 
 from monsoonline.errors import Finding, FindingsError
 
-__all__ = ["MAX_INTEGER", "CheckedFields", "is_address", "is_text"]
+__all__ = ["MAX_INTEGER", "CheckedFields", "is_address", "is_number", "is_text"]
 
 DURATION = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,6})?)(ms|s)")
 UNIT_MS = {"ms": 1.0, "s": 1000.0}
--- a/src/monsoonline/core/crashes.py
+++ b/src/monsoonline/core/crashes.py
@@ -12,6 +12,7 @@
 import json
 import threading
 
+from monsoonline.core.checked_fields import is_number
 from monsoonline.core.strict_json import parse_strict_json
 
 __all__ = ["CrashReport", "CrashTracker"]
@@ -39,11 +40,13 @@
     :param incidents: ids of crashes during which the request was in flight
     :param cleared: ids of crashes that the request is no longer suspected of, because
         it completed later
+    :param age_ms: time since the newest crash or completion that it contains
     """
 
-    __slots__ = ("_cleared", "_fingerprint", "_incidents")
+    __slots__ = ("_age_ms", "_cleared", "_fingerprint", "_incidents")
 
-    def __init__(self, *, fingerprint, incidents, cleared=()):
+    def __init__(self, *, fingerprint, incidents, cleared=(), age_ms=0.0):
+        self._age_ms = age_ms
         self._fingerprint = fingerprint
         self._incidents = frozenset(incidents)
         self._cleared = frozenset(cleared)
@@ -63,12 +66,18 @@
         """Ids of crashes of which a later completion cleared the request."""
         return self._cleared
 
+    @property
+    def age_ms(self):
+        """Time since the newest crash or completion that it contains, in ms."""
+        return self._age_ms
+
     def encode(self):
         """Return the payload of the shared item, at most 512 bytes."""
         document = {
             "fingerprint": self._fingerprint,
             "incidents": sorted(self._incidents - self._cleared)[:MAX_INCIDENTS],
             "cleared": sorted(self._cleared)[:MAX_INCIDENTS],
+            "age_ms": round(self._age_ms),
         }
         return json.dumps(document, separators=(",", ":")).encode()
 
@@ -83,24 +92,32 @@
             document = parse_strict_json(content)
             fingerprint = document["fingerprint"]
             incidents, cleared = document["incidents"], document["cleared"]
+            # Entries of earlier versions do not send the age.
+            age_ms = document.get("age_ms", 0)
         except (AttributeError, KeyError, TypeError, ValueError):
             raise ValueError(
                 f"invalid crash report {payload[:40]!r}: expected a JSON object with "
                 "fingerprint, incidents and cleared"
             ) from None
         lists = isinstance(incidents, list) and isinstance(cleared, list)
-        if not isinstance(fingerprint, str) or not lists:
+        if not isinstance(fingerprint, str) or not lists or not is_duration(age_ms):
             raise ValueError(
                 f"invalid crash report {payload[:40]!r}: expected fingerprint to be a "
-                "string, and incidents and cleared to be lists"
+                "string, incidents and cleared to be lists, and age_ms a duration"
             )
         return cls(
             fingerprint=fingerprint,
             incidents=map(str, incidents),
             cleared=map(str, cleared),
+            age_ms=age_ms,
         )
 
 
+def is_duration(value):
+    """Return whether a JSON value is a time in ms for which a report is kept."""
+    return is_number(value) and 0 <= value <= SUSPECT_LIFETIME_MS
+
+
 class SuspectedRequest:
     """Crashes during which a request was in flight."""
 
@@ -109,7 +126,7 @@
     def __init__(self):
         self.incidents = set()
         self.cleared = set()
-        self.updated_at = 0.0
+        self.updated_at = float("-inf")
 
     @property
     def uncleared_count(self):
@@ -159,6 +176,7 @@
             suspect = self._suspects.get(fingerprint)
             if suspect is not None and suspect.uncleared_count:
                 suspect.cleared |= suspect.incidents
+                suspect.updated_at = self._clock.now()
                 self._unshared.append(fingerprint)
 
     def connection_lost(self, address, fingerprint):
@@ -214,6 +232,22 @@
         with self._lock:
             return self._reports(list(self._suspects)[-count:])
 
+    def reports_to_repeat(self, count):
+        """Return the reports that entries without them need most.
+
+        Such entries have been started, cut off or paused since the first report.
+
+        :param count: maximum number of reports
+        """
+        now = self._clock.now()
+        with self._lock:
+            valid = [
+                (suspect.uncleared_count, suspect.updated_at, fingerprint)
+                for fingerprint, suspect in self._suspects.items()
+                if now - suspect.updated_at <= SUSPECT_LIFETIME_MS
+            ]
+            return self._reports(f for *_, f in sorted(valid, reverse=True)[:count])
+
     def observe(self, report):
         """Merge a :class:`CrashReport` of a peer."""
         with self._lock:
@@ -221,17 +255,20 @@
                 report.fingerprint,
                 report.incidents,
                 report.cleared,
-                self._clock.now(),
+                self._clock.now() - report.age_ms,
             )
 
     def _reports(self, fingerprints):
+        now = self._clock.now()
+        suspects = ((f, self._suspects[f]) for f in fingerprints)
         return tuple(
             CrashReport(
                 fingerprint=fingerprint,
-                incidents=self._suspects[fingerprint].incidents,
-                cleared=self._suspects[fingerprint].cleared,
+                incidents=suspect.incidents,
+                cleared=suspect.cleared,
+                age_ms=min(SUSPECT_LIFETIME_MS, max(0.0, now - suspect.updated_at)),
             )
-            for fingerprint in fingerprints
+            for fingerprint, suspect in suspects
         )
 
     def _incident_id(self, address, now):
@@ -244,15 +281,21 @@
         self._incidents[address] = (incident, now)
         return incident
 
-    def _merge(self, fingerprint, incidents, cleared, now):
+    def _merge(self, fingerprint, incidents, cleared, at):
+        """Add crashes and clearings, the newest of which happened at a time.
+
+        What is known already does not prolong the suspicion, although entries repeat
+        their reports.
+        """
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             suspect = self._suspects[fingerprint] = SuspectedRequest()
             if len(self._suspects) > MAX_FINGERPRINTS:
                 self._suspects.popitem(last=False)
+        if not (incidents <= suspect.incidents and cleared <= suspect.cleared):
+            suspect.updated_at = max(suspect.updated_at, at)
         suspect.incidents |= incidents
         suspect.cleared |= cleared
-        suspect.updated_at = now
 
     def _remove_running(self, address, fingerprint):
         running = self._running.get(address)
--- a/src/monsoonline/core/fleet.py
+++ b/src/monsoonline/core/fleet.py
@@ -7,7 +7,13 @@
 
 import dataclasses
 
-__all__ = ["Fleet", "FleetMember", "MemberAge", "single_entry_fleet"]
+__all__ = [
+    "LIVENESS_TIMEOUT_MS",
+    "Fleet",
+    "FleetMember",
+    "MemberAge",
+    "single_entry_fleet",
+]
 
 # A member without an update for this time is not returned to callers.
 LIVENESS_TIMEOUT_MS = 1_800.0
--- a/src/monsoonline/entry/fleet_link.py
+++ b/src/monsoonline/entry/fleet_link.py
@@ -16,7 +16,7 @@
     encode_state,
 )
 from monsoonline.background import start_task
-from monsoonline.core.fleet import MemberAge
+from monsoonline.core.fleet import LIVENESS_TIMEOUT_MS, MemberAge
 from monsoonline.core.fleet_messages import (
     FailureNotice,
     Heartbeat,
@@ -36,6 +36,13 @@
 HEARTBEAT_INTERVAL_MS = 400.0
 FAILURE_NOTICE_INTERVAL_MS = 150.0
 MAX_FAILURES_PER_NOTICE = 40
+# Reports of crashes are repeated, so that entries learn of them that were started, cut
+# off or paused when the crash was reported.
+CRASH_REPEAT_INTERVAL_MS = 2_000.0
+CRASH_REPEAT_RECIPIENTS = 2
+MAX_REPEATED_CRASHES = 8
+# Number of entries, on average, that repeat them to an entry that has just started.
+NEWCOMER_INFORMERS = 4
 TRANSFER_TIMEOUT_MS = 400.0
 # Fits into one IP packet at the usual MTU of 1,500 bytes.
 MAX_DATAGRAM_BYTES = 1400
@@ -291,9 +298,13 @@
     def _handle_notice(self, message):
         """Handle a message that names the member that sent it."""
         now = self._clock.now()
-        if message.sender.name == self._fleet.own.name:
+        sender = message.sender
+        if sender.name == self._fleet.own.name:
             return
-        self._fleet.update(message.sender, now=now)
+        known = self._fleet.age_ms(sender.name, now) < LIVENESS_TIMEOUT_MS
+        self._fleet.update(sender, now=now)
+        if not sender.leaving and not (known and sender.ready):
+            self._inform_newcomer(sender, now)
         if isinstance(message, Heartbeat):
             self._handle_heartbeat(message, now)
         elif isinstance(message, ReadNotice):
@@ -386,11 +397,33 @@
         age_ms = self._schedule.read_age_ms(self._clock.now())
         return None if age_ms is None else round(age_ms)
 
+    def _inform_newcomer(self, member, now):
+        """Repeat the crashes to an entry that has just started, or was not heard."""
+        share = NEWCOMER_INFORMERS / max(1, len(self._fleet.alive(now)))
+        if random.random() < share:
+            self._repeat_crashes([member])
+
+    def _repeat_crashes(self, members):
+        reports = self._crashes.reports_to_repeat(MAX_REPEATED_CRASHES)
+        if not reports:
+            return
+        notice = FailureNotice(sender=self._fleet.own, failures=(), crashes=reports)
+        content = encode_datagram(notice)
+        for member in members:
+            self._send(member, content)
+
     def _send_failures(self):
+        repeated_at = self._clock.now()
         while not self._stopping.wait(FAILURE_NOTICE_INTERVAL_MS / 1e3):
             with self._lock:
                 failures, self._failures = tuple(self._failures), []
             reports = self._crashes.take_reports()
+            now = self._clock.now()
+            if now - repeated_at >= CRASH_REPEAT_INTERVAL_MS:
+                repeated_at = now
+                alive = self._fleet.alive(now)
+                count = min(CRASH_REPEAT_RECIPIENTS, len(alive))
+                self._repeat_crashes(random.sample(alive, count))
             if not failures and not reports:
                 continue
             content = encode_datagram(
@@ -398,11 +431,10 @@
                     sender=self._fleet.own, failures=failures, crashes=reports
                 )
             )
-            now = self._clock.now()
-            # Crash reports go to all entries, since every entry must refuse a poison
-            # request.
+            # Every entry must refuse a poison request, so crash reports go to all, also
+            # to those of other failure domains that were not heard lately.
             recipients = (
-                self._fleet.alive(now)
+                self._fleet.others()
                 if reports
                 else self._recipient_selector.failure_recipients(now)
             )
--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -87,8 +87,43 @@
         self.clock.advance(600_001.0)
         self.assertFalse(tracker.blocked("f"))
 
+    def test_repeated_reports_do_not_prolong_a_block(self):
+        """Guards against entries that teach each other a block for ever."""
+        first, second, third = self.trackers
+        self.crash(first, "a:1", "bad")
+        self.crash(first, "b:1", "bad")
+        for elapsed_ms in (0, 300_000, 599_000):
+            self.clock.advance(elapsed_ms - self.clock.now())
+            for teacher, learner in ((first, second), (second, third), (third, first)):
+                for report in teacher.reports_to_repeat(8):
+                    learner.observe(CrashReport.decode(report.encode()))
+            self.assertTrue(all(t.blocked("bad") for t in self.trackers))
+        self.clock.advance(2_000.0)
+        self.assertFalse(any(t.blocked("bad") for t in self.trackers))
+        self.assertEqual([t.reports_to_repeat(8) for t in self.trackers], [()] * 3)
+
+    def test_reports_of_most_crashes_are_repeated_first(self):
+        tracker = self.trackers[0]
+        for number in range(20):
+            self.crash(tracker, f"a:{number}", f"once{number}")
+        self.crash(tracker, "b:1", "bad")
+        self.crash(tracker, "b:2", "bad")
+        reports = tracker.reports_to_repeat(8)
+        self.assertEqual((len(reports), reports[0].fingerprint), (8, "bad"))
+
     def test_malformed_report_is_rejected(self):
-        for payload in (b"", b"[]", b'{"fingerprint": 1}', b"\xff"):
+        whole = b'{"fingerprint":"f","incidents":[],"cleared":[],"age_ms":%s}'
+        CrashReport.decode(whole % b"5")
+        for payload in (
+            b"",
+            b"[]",
+            b'{"fingerprint": 1}',
+            b"\xff",
+            whole % b"-1",
+            whole % b"1e400",
+            whole % b'"5"',
+            whole % b"NaN",
+        ):
             with self.assertRaises(ValueError):
                 CrashReport.decode(payload)
 
--- a/tests/entry/target_fixture.py
+++ b/tests/entry/target_fixture.py
@@ -58,7 +58,7 @@
         self.closing_probes = 0
         # Requests on connections up to this number get no response.
         self.unresponsive_connections = 0
-        self._replies = replies or (lambda number, request: {})
+        self.replies = replies or (lambda number, request: {})
         self._serving = threading.local()
         self._upstream = ScriptedUpstream(script=self._serve)
 
@@ -114,7 +114,7 @@
             return self._identified(self.refuse(status=421), request)
         self.executed.append(request)
         self.executed_at.append(time.monotonic())
-        reply = self._replies(len(self.executed), request)
+        reply = self.replies(len(self.executed), request)
         if isinstance(reply, dict):
             return self.respond(request, **({"delay_ms": self.work_ms} | reply))
         if isinstance(reply, str):
--- a/tests/entry/test_fleet_service.py
+++ b/tests/entry/test_fleet_service.py
@@ -13,6 +13,7 @@
 from monsoonline.platform.main import DIALECT
 from monsoonline.platform.store import PlatformStore
 from monsoonline.standin.row_store import RowStoreStandIn
+from tests.adapters.scripted_upstream import Reply
 from tests.entry.target_fixture import Target, header_of
 from tests.platform.test_documents import CONFIGURATION, ROUTE
 from tests.test_fleet_settings import parse_with
@@ -219,6 +220,49 @@
         self.assertEqual(self.status(1), 200)
 
 
+class TestCrashingRequest(FleetTest):
+    """A request that crashes its upstreams is refused by entries that start later."""
+
+    def test_entry_that_starts_after_the_crashes_refuses_the_request(self):
+        """Guards against one more crash for each entry that is restarted."""
+        crashed = []
+
+        def crash(number, request):
+            del number
+            if b"/a/poison" not in request:
+                return {}
+            instance = header_of(request, HEADERS.intended_instance)
+            crashed.append(instance)
+            targets[instance].close()
+            return Reply(content=b"", close=True)
+
+        targets = {"i1": self.target}
+        for instance in ("i2", "i3", "i4"):
+            targets[instance] = Target(instance, load="0,0,3,100", names=HEADERS)
+            self.addCleanup(targets[instance].close)
+        for target in targets.values():
+            target.replies = crash
+        self.register("i2", targets["i2"].address)
+        self.assertTrue(eventually(lambda: self.status(0) and targets["i2"].executed))
+        for _ in range(4):
+            self.status(0, "/a/poison")
+        self.assertEqual(sorted(crashed), ["i1", "i2"])
+        for instance in ("i3", "i4"):
+            self.register(instance, targets[instance].address)
+        # The first reports have been sent by then.
+        time.sleep(0.5)
+        self.start("e2")
+        self.assertTrue(eventually(lambda: self.entries_status(2) == 200, within_s=5))
+        self.assertTrue(eventually(lambda: self.status(2) == 200))
+        self.assertEqual(self.status(2, "/a/poison"), 502)
+        self.assertEqual(len(crashed), 2)
+
+    def entries_status(self, number):
+        """Return the readiness status of an entry."""
+        address = self.settings[number].listeners.readiness
+        return send_request(address, READINESS_PATH)[0]
+
+
 class TestStop(FleetTest):
     """A planned stop reaches callers before it interrupts any request."""
 
