Send nothing to an upstream for the time that its refusal names

What upstreams would have seen: probes and requests of an entry that they had just told with 503 and Retry-After to wait.

Change: UpstreamHolds keeps the time by id and start time. Searches, permits, reads of limits and checks after a lost connection leave held upstreams out, so that no probe is sent either. With all upstreams of a pool held, requests are refused at once with the time of the first return.

Why it works: everything that is sent to an upstream starts with a probe, and all probes are chosen from the upstreams that are not held.

--- a/src/monsoonline/core/upstream_view.py
+++ b/src/monsoonline/core/upstream_view.py
@@ -112,9 +112,12 @@
 
     :param failure_domain: failure domain of this entry
     :param generator: :class:`random.Random`, a fresh one when omitted
+    :param holds: :class:`monsoonline.core.upstream_holds.UpstreamHolds`, ``None`` if
+        no upstream asks for one
     """
 
-    def __init__(self, *, failure_domain, generator=None):
+    def __init__(self, *, failure_domain, generator=None, holds=None):
+        self._holds = holds
         self._failure_domain = failure_domain
         self._generator = generator or random.Random()
         self._states = {}
@@ -152,8 +155,28 @@
             if not state.registration.leaving
             and not state.misdirected
             and instance not in excluded
+            and not self.hold_ms(state)
         ]
 
+    def hold_ms(self, state):
+        """Return the time in ms for which nothing is sent to an upstream."""
+        if self._holds is None:
+            return 0.0
+        return self._holds.remaining_ms(state.registration)
+
+    def shortest_hold_ms(self):
+        """Return the time in ms until the first held upstream may be used again.
+
+        :returns: ``None`` if no upstream is held that could be used otherwise
+        """
+        holds = [
+            hold_ms
+            for state in self._states.values()
+            if not (state.registration.leaving or state.misdirected)
+            and (hold_ms := self.hold_ms(state))
+        ]
+        return min(holds, default=None)
+
     def unlimited(self, excluded=frozenset()):
         """Return the usable states of upstreams that name no limit."""
         return [s for s in self.usable(excluded) if s.limit.value is None]
--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -21,6 +21,7 @@
 from monsoonline.core.request_decisions import RequestDecisions
 from monsoonline.core.response_classification import ResponseClass, classify_response
 from monsoonline.core.splitting import ShareChooser
+from monsoonline.core.upstream_holds import UpstreamHolds
 from monsoonline.core.upstream_limits import LimitObservation
 from monsoonline.decision_log import DecisionLog
 from monsoonline.entry.attempts import Attempts
@@ -126,6 +127,7 @@
         self._metrics = metrics
         self._shares = ShareChooser(generator=decisions.generator)
         self._decision_log = DecisionLog(clock=clock, metrics=metrics)
+        holds = UpstreamHolds(clock=clock, generator=decisions.generator)
         self._pools = ServedPools(
             clock=clock,
             names=names,
@@ -133,9 +135,12 @@
             failure_domain=failure_domain,
             on_failure=on_failure,
             decisions=decisions,
+            holds=holds,
         )
         self._limits = LimitReader(clock=clock, names=names, metrics=metrics)
-        notices = UpstreamNotices(names=names, on_leaving=on_leaving, metrics=metrics)
+        notices = UpstreamNotices(
+            names=names, on_leaving=on_leaving, holds=holds, metrics=metrics
+        )
         self._permits = UpstreamPermits(
             clock=clock,
             fleet=fleet or single_entry_fleet(failure_domain),
--- a/src/monsoonline/entry/placer.py
+++ b/src/monsoonline/entry/placer.py
@@ -294,6 +294,13 @@
     def _no_upstream_refusal(self, task):
         """Return the refusal when no upstream may get the request now."""
         limits = [s.limit.value or 0.0 for s in task.pool.view.limited()]
+        hold_ms = task.pool.view.shortest_hold_ms()
+        if not limits and hold_ms is not None:
+            return self.refusal(
+                f"all upstreams want nothing for {hold_ms:.0f} ms or longer",
+                "held",
+                self._load_shedder.retry_after_ms(None) + hold_ms,
+            )
         if not limits:
             return self.refusal("the pool has no usable upstream", "no-upstream")
         return self.refusal(
@@ -307,11 +314,13 @@
     def probe(self, served, state):
         """Probe one upstream and return whether it is reachable.
 
-        One that has just said that it wants no requests is.
+        One that wants nothing is not probed; it has responded lately.
 
         :param served: the :class:`monsoonline.entry.served_pools.ServedPool`
         :param state: the upstream's state
         """
+        if served.view.hold_ms(state):
+            return True
         probed = self._prober.probe_upstreams(
             served.view,
             [self._prober.open_probe(state)],
@@ -320,7 +329,7 @@
         )
         for item in probed:
             self._sessions.check_in(item.session)
-        return bool(probed) or not is_wanted(state)
+        return bool(probed) or not is_wanted(served.view, state)
 
     def refusal(self, message, code, retry_after_ms=None):
         """Return the refusal of a request that has not run."""
--- a/src/monsoonline/entry/prober.py
+++ b/src/monsoonline/entry/prober.py
@@ -87,9 +87,13 @@
         return ready
 
 
-def is_wanted(state):
-    """Return whether an upstream may still get the request that it is probed for."""
-    return not state.registration.leaving
+def is_wanted(view, state):
+    """Return whether an upstream wants the request that it is probed for.
+
+    :param view: the :class:`monsoonline.core.upstream_view.UpstreamView` of its pool
+    :param state: its :class:`monsoonline.core.upstream_view.UpstreamState`
+    """
+    return not (state.registration.leaving or view.hold_ms(state))
 
 
 class UpstreamProber:
@@ -225,7 +229,7 @@
             if pending.session.connected:
                 response = pending.session.read_probe(deadline=probe_round.deadline)
                 self._read_notices(pending.state, response)
-                if not is_wanted(pending.state):
+                if not is_wanted(view, pending.state):
                     self._sessions.check_in(pending.session)
                     return None
                 if pending.session.reusable:
--- a/src/monsoonline/entry/served_pools.py
+++ b/src/monsoonline/entry/served_pools.py
@@ -68,9 +68,13 @@
     :param failure_domain: failure domain of this entry
     :param on_failure: called with instance and weight of each observed failure
     :param decisions: :class:`monsoonline.core.request_decisions.RequestDecisions`
+    :param holds: :class:`monsoonline.core.upstream_holds.UpstreamHolds`
     """
 
-    def __init__(self, *, clock, names, budget, failure_domain, on_failure, decisions):
+    def __init__(
+        self, *, clock, names, budget, failure_domain, on_failure, decisions, holds=None
+    ):
+        self._holds = holds
         self._decisions = decisions
         self._clock = clock
         self._names = names
@@ -235,7 +239,9 @@
         return ServedPool(
             pool=pool,
             view=UpstreamView(
-                failure_domain=self._failure_domain, generator=self._decisions.generator
+                failure_domain=self._failure_domain,
+                generator=self._decisions.generator,
+                holds=self._holds,
             ),
             retry_budget=RetryBudget(limits=self._budget),
             probe=probe,
--- a/src/monsoonline/entry/upstream_notices.py
+++ b/src/monsoonline/entry/upstream_notices.py
@@ -3,10 +3,13 @@
 import logging
 
 from monsoonline.core.response_classification import MISDIRECTED_STATUS
+from monsoonline.core.upstream_holds import parse_retry_after
 
 __all__ = ["UpstreamNotices"]
 
 LEAVING_VALUE = "1"
+HOLD_HEADER = "retry-after"
+HOLD_STATUS = 503
 
 logger = logging.getLogger(__name__)
 
@@ -16,10 +19,12 @@
 
     :param names: :class:`monsoonline.core.header_names.HeaderNames`
     :param on_leaving: called with id and start time of an upstream that leaves
+    :param holds: :class:`monsoonline.core.upstream_holds.UpstreamHolds`
     :param metrics: counters
     """
 
-    def __init__(self, *, names, on_leaving, metrics):
+    def __init__(self, *, names, on_leaving, holds, metrics):
+        self._holds = holds
         self._leaving = names.leaving.lower()
         self._on_leaving = on_leaving
         self._metrics = metrics
@@ -37,15 +42,32 @@
         if response.status == MISDIRECTED_STATUS:
             # Another upstream at the address speaks of itself.
             return
-        leaving = any(
-            name.lower() == self._leaving and value.strip() == LEAVING_VALUE
-            for name, value in response.headers
-        )
-        if leaving and not state.registration.leaving:
-            registration = state.registration
+        leaving, hold_ms = self._parse(response)
+        registration = state.registration
+        if hold_ms:
+            self._metrics.count("upstream_holds_total")
+            self._holds.hold(registration, hold_ms)
+        if leaving and not registration.leaving:
             self._metrics.count("upstream_leaving_notices_total")
             logger.info(
                 "upstream says that it leaves",
                 extra={"upstream": registration.instance},
             )
             self._on_leaving(registration.instance, registration.born_ms)
+
+    def _parse(self, response):
+        """Return whether the upstream leaves, and for how long it wants nothing.
+
+        :returns: a boolean, and a time in ms, 0 without one
+        """
+        leaving, hold_ms = False, 0.0
+        for name, value in response.headers:
+            lower_name = name.lower()
+            if lower_name == self._leaving:
+                leaving = leaving or value.strip() == LEAVING_VALUE
+            elif lower_name == HOLD_HEADER and response.status == HOLD_STATUS:
+                stated_ms = parse_retry_after(value.strip())
+                if stated_ms is None:
+                    self._metrics.count("upstream_holds_unreadable_total")
+                hold_ms = max(hold_ms, stated_ms or 0.0)
+        return leaving, hold_ms
--- a/src/monsoonline/report/explanation.py
+++ b/src/monsoonline/report/explanation.py
@@ -15,6 +15,8 @@
 REFUSAL_CAUSES = {
     "overload": "no upstream was expected to respond in time; the request did not run",
     "no-upstream": "no upstream of the pool was reachable; the request did not run",
+    "held": "all upstreams of the pool wanted no requests for a time; "
+    "the request did not run",
     "unreachable": "the upstream was not reachable; the request did not run",
     "no-tables": "the entry had no configuration yet; the request did not run",
     "entry-starting": "the entry had just started and might have had an old "
--- a/tests/entry/target_fixture.py
+++ b/tests/entry/target_fixture.py
@@ -56,6 +56,9 @@
         self.responsive = True
         # Time for which it works on each request, unless the reply names another one.
         self.work_ms = 0.0
+        # Status of its probe responses, and their Retry-After, ``None`` to send none.
+        self.probe_status = 200
+        self.probe_retry_after = None
         # Number of the next probe responses that announce the close of the connection.
         self.closing_probes = 0
         # Requests on connections up to this number get no response.
@@ -93,11 +96,13 @@
         ]
         return Reply(content="\r\n".join([*lines, "\r\n"]).encode() + body)
 
-    def refuse(self, *, status=503):
+    def refuse(self, *, status=503, retry_after=None):
         """Return the head of a certified refusal: the request did not run."""
         head = (
             f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n{self._names.not_run}: 1\r\n"
         )
+        if retry_after is not None:
+            head += f"Retry-After: {retry_after}\r\n"
         return head + "".join(f"{line}\r\n" for line in self._notice_lines())
 
     def _notice_lines(self):
@@ -138,10 +143,16 @@
         return Reply(
             close=close,
             content=(
-                f"HTTP/1.1 200 OK\r\n{self._names.request_id}: {echo_id}\r\n"
+                f"HTTP/1.1 {self.probe_status} X\r\n"
+                f"{self._names.request_id}: {echo_id}\r\n"
                 + ("Connection: close\r\n" if close else "")
                 + f"{self._names.instance}: {self.instance}\r\n"
                 f"{self._names.load}: {self.load}\r\n"
+                + (
+                    f"Retry-After: {self.probe_retry_after}\r\n"
+                    if self.probe_retry_after is not None
+                    else ""
+                )
                 + "".join(f"{line}\r\n" for line in self._notice_lines())
                 + "Content-Length: 0\r\n\r\n"
             ).encode(),
--- a/tests/entry/test_placed_relay.py
+++ b/tests/entry/test_placed_relay.py
@@ -568,6 +568,68 @@
         self.assertEqual(self.left, set())
 
 
+class TestHeldUpstreams(RelayTest):
+    """An upstream that refuses with Retry-After gets nothing for that time."""
+
+    def held(self, *others, status=503, retry_after="1.5"):
+        """Return a relay, and an upstream that refuses all requests."""
+        target = Target(
+            "i1",
+            replies=lambda *_: target.refuse(status=status, retry_after=retry_after),
+        )
+        relay = self.relay_to(target, *others)
+        return relay, target
+
+    def test_neither_request_nor_probe_reaches_a_held_upstream(self):
+        """Guards against requests in a time for which an upstream wants nothing."""
+        relay, target = self.held()
+        started = time.monotonic()
+        self.refused(relay, self.request("/book/1", method="POST", body=b"x"))
+        probes = len(target.probed_at)
+        while time.monotonic() - started < 1.2:
+            refusal = self.refused(relay, self.request())
+            self.assertEqual((refusal.status, refusal.code), (503, "held"))
+            left_ms = 1_500.0 - (time.monotonic() - started) * 1e3
+            self.assertGreaterEqual(refusal.retry_after_ms, left_ms)
+            time.sleep(0.1)
+        self.assertEqual((len(target.executed), len(target.probed_at)), (1, probes))
+        target.replies = lambda *_: {}
+        time.sleep(started + 2.0 - time.monotonic())
+        self.assertEqual(relay.handle(self.request()).status, 200)
+
+    def test_requests_go_to_another_upstream_meanwhile(self):
+        other = Target("i2", load="2,0,3,1.0")
+        relay, target = self.held(other)
+        for _ in range(6):
+            self.assertEqual(relay.handle(self.request()).status, 200)
+        self.assertLessEqual(len(target.executed), 1)
+        self.assertGreaterEqual(len(other.executed), 6)
+
+    def test_probe_that_is_refused_holds_its_upstream_too(self):
+        relay, target = self.held()
+        target.replies = lambda *_: {}
+        target.probe_status, target.probe_retry_after = 503, "5"
+        for _ in range(3):
+            self.assertEqual(self.refused(relay, self.request()).code, "held")
+        self.assertEqual((target.executed, len(target.probed_at)), ([], 1))
+
+    def test_unreadable_times_and_other_statuses_hold_nothing(self):
+        booking = self.request("/book/1", method="POST", body=b"x")
+        for status, value in ((503, "soon"), (503, "-1"), (429, "5"), (503, "0")):
+            with self.subTest(status=status, value=value):
+                relay, target = self.held(status=status, retry_after=value)
+                for _ in range(2):
+                    self.assertNotEqual(self.refused(relay, booking).code, "held")
+                self.assertEqual(len(target.executed), 2)
+
+    def test_upstream_that_starts_anew_is_used_at_once(self):
+        relay, target = self.held(retry_after="60")
+        self.refused(relay, self.request("/book/1", method="POST", body=b"x"))
+        target.replies = lambda *_: {}
+        self.register(relay, target, born_ms=7)
+        self.assertEqual(relay.handle(self.request()).status, 200)
+
+
 class TestCutResponses(RelayTest):
     """A caller never gets a part of a response as the whole."""
 
