Tell callers of a hold only where no other upstream is usable

What callers would have seen: a return time of up to minutes, where one upstream of a pool is held and the others just did not respond.

Cause: the refusal looked for held upstreams first.

Change: it does so only if no upstream is usable. A refused probe without the id of its upstream is a hold too; only leaving, which is final, needs the id. Tables that decompress to more than the limit are an error, not cut off.

--- a/src/monsoonline/adapters/fleet_codec.py
+++ b/src/monsoonline/adapters/fleet_codec.py
@@ -445,7 +445,10 @@
     compression, text = packed
     if compression != TABLES_COMPRESSION:
         raise ValueError(f"compression {compression!r}, expected 'zlib'")
-    return inflate(base64.b64decode(text))
+    tables = inflate(base64.b64decode(text))
+    if len(tables) >= MAX_DECODED_BYTES:
+        raise ValueError(f"tables have {MAX_DECODED_BYTES} bytes or more")
+    return tables
 
 
 def encode_state(state, *, compress_tables=False):
@@ -455,9 +458,10 @@
     :param compress_tables: whether the receiver reads compressed tables
     """
     registrations = state.registrations
-    tables = base64.b64encode(state.tables).decode()
     if compress_tables and state.tables:
         tables = pack_tables(state.tables)
+    else:
+        tables = base64.b64encode(state.tables).decode()
     return compress(
         [
             state.tables_revision,
--- a/src/monsoonline/entry/placer.py
+++ b/src/monsoonline/entry/placer.py
@@ -293,9 +293,10 @@
 
     def _no_upstream_refusal(self, task):
         """Return the refusal when no upstream may get the request now."""
-        limits = [s.limit.value or 0.0 for s in task.pool.view.limited()]
-        hold_ms = task.pool.view.shortest_hold_ms()
-        if not limits and hold_ms is not None:
+        view = task.pool.view
+        limits = [s.limit.value or 0.0 for s in view.limited()]
+        hold_ms = None if view.usable() else view.shortest_hold_ms()
+        if hold_ms is not None:
             return self.refusal(
                 f"all upstreams want nothing for {hold_ms:.0f} ms or longer",
                 "held",
--- a/src/monsoonline/entry/prober.py
+++ b/src/monsoonline/entry/prober.py
@@ -264,13 +264,14 @@
         )
 
     def _read_notices(self, state, response):
-        """Apply the notices of a probe response that names its upstream.
+        """Apply the notices of a probe response, unless it names another upstream.
 
         Responses to probes need not have the id of the probe, and those of a
         connection that is about to close are not used otherwise.
         """
-        if response.header(self._names.instance) == state.registration.instance:
-            self._notices.read(state, response)
+        instance = response.header(self._names.instance)
+        if instance in (None, state.registration.instance):
+            self._notices.read(state, response, identified=instance is not None)
 
     def _read_result(self, pending, view, response):
         state = pending.state
--- a/src/monsoonline/entry/upstream_notices.py
+++ b/src/monsoonline/entry/upstream_notices.py
@@ -29,15 +29,15 @@
         self._on_leaving = on_leaving
         self._metrics = metrics
 
-    def read(self, state, response):
+    def read(self, state, response, *, identified=True):
         """Apply the notices in a response of an upstream.
 
-        The caller makes sure that the response is that upstream's own: it has the id
-        of the request, or that of the upstream.
-
         :param state: :class:`monsoonline.core.upstream_view.UpstreamState` of the
             upstream
         :param response: the complete :class:`monsoonline.types.Answer`
+        :param identified: whether it has the id of the request, or of the upstream, so
+            that it is certainly that upstream's own; otherwise only a hold is read,
+            since leaving is final
         """
         if response.status == MISDIRECTED_STATUS:
             # Another upstream at the address speaks of itself.
@@ -47,7 +47,7 @@
         if hold_ms:
             self._metrics.count("upstream_holds_total")
             self._holds.hold(registration, hold_ms)
-        if leaving and not registration.leaving:
+        if identified and leaving and not registration.leaving:
             self._metrics.count("upstream_leaving_notices_total")
             logger.info(
                 "upstream says that it leaves",
--- a/tests/entry/test_placed_relay.py
+++ b/tests/entry/test_placed_relay.py
@@ -613,6 +613,18 @@
             self.assertEqual(self.refused(relay, self.request()).code, "held")
         self.assertEqual((target.executed, len(target.probed_at)), ([], 1))
 
+    def test_hold_of_one_upstream_sends_no_caller_away_from_another(self):
+        """Guards against callers told to return in a minute while others have room."""
+        relay, target = self.held(retry_after="60")
+        self.refused(relay, self.request("/book/1", method="POST", body=b"x"))
+        silent = Target("i2")
+        silent.responsive = False
+        self.addCleanup(silent.close)
+        self.register(relay, target, silent)
+        refusal = self.refused(relay, self.request())
+        self.assertEqual(refusal.code, "no-upstream")
+        self.assertLess(refusal.retry_after_ms, 5_000.0)
+
     def test_unreadable_times_and_other_statuses_hold_nothing(self):
         booking = self.request("/book/1", method="POST", body=b"x")
         for status, value in ((503, "soon"), (503, "-1"), (429, "5"), (503, "0")):
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -178,10 +178,9 @@
         for check in (check_configuration, check_runs, check_stop, check_drain):
             findings += check(history, response, own_runs)
     for request_id in runs.keys() - known:
-        if not request_id.startswith("open-"):
-            findings.append(
-                Finding(rule="UNASKED", text=f"{request_id} was sent by no caller")
-            )
+        findings.append(
+            Finding(rule="UNASKED", text=f"{request_id} was sent by no caller")
+        )
     return findings
 
 
