--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -1,5 +1,6 @@
 """A soak: store, upstreams, callers, entries, an operator and seeded troubles."""
 
+import dataclasses
 import json
 import multiprocessing
 import pathlib
@@ -43,6 +44,7 @@
     return register
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
 class Plan:
     """Size and course of a soak.
 
@@ -50,33 +52,24 @@
     :param seconds: duration
     :param entries: number of entries
     :param routes: number of routes beside those that change
-    :param interval_s: time between two versions of the configuration
+    :param interval_s: mean time between two versions of the configuration
     :param callers: number of callers
     :param pause_s: mean pause of a caller between two requests
-    :param troubles: names of the kinds of trouble to choose from, all when omitted
+    :param troubles: names of the kinds of trouble to choose from, ``None`` for all
     :param gap_s: mean time between the starts of two troubles, which may overlap
     :param cores: number of processor cores for the entries, 0 for all
     """
 
-    def __init__(
-        self,
-        *,
-        seed,
-        seconds=60.0,
-        entries=6,
-        routes=300,
-        interval_s=1.5,
-        callers=24,
-        pause_s=0.1,
-        troubles=None,
-        gap_s=3.0,
-        cores=0,
-    ):
-        self.seed, self.seconds = seed, seconds
-        self.entries, self.routes, self.interval_s = entries, routes, interval_s
-        self.callers, self.pause_s = callers, pause_s
-        self.troubles = tuple(TROUBLES if troubles is None else troubles)
-        self.gap_s, self.cores = gap_s, cores
+    seed: int
+    seconds: float = 60.0
+    entries: int = 6
+    routes: int = 300
+    interval_s: float = 1.5
+    callers: int = 24
+    pause_s: float = 0.1
+    troubles: tuple[str, ...] | None = None
+    gap_s: float = 3.0
+    cores: int = 0
 
 
 class Soak:
@@ -90,6 +83,7 @@
         self._plan = plan
         self._folder = pathlib.Path(folder)
         self._generator = random.Random(plan.seed)
+        self._kinds = tuple(TROUBLES) if plan.troubles is None else plan.troubles
         self._context = multiprocessing.get_context("spawn")
         self.history = History(bounds=Bounds())
         self._store = RowStoreStandIn()
@@ -116,30 +110,37 @@
         return self.history
 
     def _start(self):
-        plan = self._plan
         self._store.start()
         for _ in range(ROUTE_LIFETIME):
             self._change_configuration()
-        upstreams = 3 * max(4, plan.entries)
-        ports = find_free_ports(upstreams + plan.entries * PORTS_PER_ENTRY)
+        entries = self._plan.entries
+        upstreams = 3 * max(4, entries)
+        ports = find_free_ports(upstreams + entries * PORTS_PER_ENTRY)
         self._start_upstreams(ports[:upstreams])
-        ports = ports[upstreams:]
-        cores = set(range(plan.cores))
-        for number in range(plan.entries):
-            name = f"edge-{number}"
-            self._entries[name] = EntryProcess(
-                name=name,
+        self._start_entries(ports[upstreams:])
+        self._start_callers()
+
+    def _start_entries(self, ports):
+        """Start the entries and wait until all are ready."""
+        for number in range(self._plan.entries):
+            first = number * PORTS_PER_ENTRY
+            entry = EntryProcess(
+                name=f"edge-{number}",
                 zone=ZONES[number % len(ZONES)],
-                ports=ports[number * PORTS_PER_ENTRY : (number + 1) * PORTS_PER_ENTRY],
+                ports=ports[first : first + PORTS_PER_ENTRY],
                 store=self._store.address,
                 folder=self._folder,
                 grace_s=self.history.bounds.grace,
-                cores=cores,
+                cores=set(range(self._plan.cores)),
             )
+            self._entries[entry.name] = entry
         for entry in self._entries.values():
             entry.start()
         for entry in self._entries.values():
             entry.wait_ready()
+
+    def _start_callers(self):
+        plan = self._plan
         addresses = {e.name: e.callers_address for e in self._entries.values()}
         for number in range(CALLER_PROCESSES):
             process = self._spawn(
@@ -248,7 +249,7 @@
     def _run_threads(self):
         threads = [threading.Thread(target=self._collect)]
         threads.append(threading.Thread(target=self._run_operator))
-        if self._plan.troubles:
+        if self._kinds:
             threads.append(threading.Thread(target=self._run_troubles))
         for thread in threads:
             thread.start()
@@ -267,7 +268,7 @@
     def _run_troubles(self):
         threads = []
         while not self._stopping.wait(self._generator.uniform(0, 2 * self._plan.gap_s)):
-            method = TROUBLES[self._generator.choice(self._plan.troubles)]
+            method = TROUBLES[self._generator.choice(self._kinds)]
             threads.append(
                 threading.Thread(
                     target=method, args=(self, self._generator.getrandbits(64))
