Count only requests of the stopped process as cut off by its stop

Change: a stop is recorded with the exit of its process, and requests that end later than 0.25 s after it were taken by the next one. Until the exit nothing is excused. Findings name the last trouble of the entry.

Evidence: the test of the check has both cases.

--- a/tests/tools/test_soak.py
+++ b/tests/tools/test_soak.py
@@ -85,7 +85,11 @@
         cut = response(status=None, ended_at=24.0)
         office = run(service="office")
         self.assertEqual(self.rules(cut, runs=[office]), [])
-        self.history.stops["e"] = [19.0]
+        self.history.stops["e"] = [(19.0, 23.9)]
+        self.assertEqual(self.rules(cut, runs=[office]), ["LOST"])
+        self.history.stops["e"] = [(19.0, 23.0)]
+        self.assertEqual(self.rules(cut, runs=[office]), [])
+        self.history.stops["e"] = [(19.0, float("inf"))]
         self.assertEqual(self.rules(cut, runs=[office]), ["LOST"])
         self.assertEqual(self.rules(cut), [])
 
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -14,6 +14,8 @@
 ]
 
 NOT_FOUND = 404
+# Time after the exit of a process in which callers notice that it has ended.
+EXIT_SLACK_S = 0.25
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
@@ -115,7 +117,7 @@
         # Trouble by name of the entry, ``None`` for the store: lists of start and end
         # in s, and the kind.
         self.troubles = {}
-        # Time in s of the SIGTERM of each planned stop, by entry.
+        # Planned stops by entry: lists of the times in s of SIGTERM and of the exit.
         self.stops = {}
 
     def begin_trouble(self, entry, kind):
@@ -152,7 +154,15 @@
         if not before:
             return "no trouble before"
         end, kind = max(before)
-        return f"{kind} ended {at - end:.3f} s before" if end <= at else f"{kind} lasts"
+        if end <= at:
+            return f"{kind} ended {at - end:.3f} s before"
+        start = max(
+            start
+            for key in (entry, None)
+            for start, later, _ in self.troubles.get(key, ())
+            if start <= at < later
+        )
+        return f"{kind} lasts since {at - start:.3f} s"
 
     def versions_in_force(self, sent_at, ended_at):
         """Return the changes by which a request may be handled."""
@@ -227,17 +237,20 @@
 
 
 def check_stop(history, response, runs):
-    """Yield findings on requests that a planned stop cut off."""
-    grace = history.bounds.grace
+    """Yield findings on requests that a planned stop cut off.
+
+    Requests that end later were taken by the next process of the entry.
+    """
     if response.status is not None or not runs:
         return
-    for stopped_at in history.stops.get(response.entry, ()):
-        if stopped_at <= response.ended_at <= stopped_at + grace + 1.0:
+    for stopped_at, exited_at in history.stops.get(response.entry, ()):
+        if stopped_at <= response.ended_at <= exited_at + EXIT_SLACK_S:
             yield Finding(
                 rule="LOST",
                 text=f"{response.entry} {response.request_id} sent "
                 f"{response.sent_at - stopped_at:.3f} s after SIGTERM was cut off "
-                f"{response.ended_at - stopped_at:.3f} s after it",
+                f"{response.ended_at - stopped_at:.3f} s after it, "
+                f"{history.last_trouble(response.entry, response.ended_at)}",
             )
 
 
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -342,8 +342,10 @@
     @trouble("stop")
     def _stop(self, seed):
         def disturb(entry, generator):
-            self.history.stops.setdefault(entry.name, []).append(time.monotonic())
+            stop = [time.monotonic(), float("inf")]
+            self.history.stops.setdefault(entry.name, []).append(stop)
             entry.terminate()
+            stop[1] = time.monotonic()
             time.sleep(generator.uniform(0.05, 0.5))
             entry.start()
 
