Show a removed target that survivors of the reader use for 3.5 s

Cause: the successor's connection to the store was closed while idle; its failed read counts as a failure of the store, so it waits, and keeps targets that are gone. The case: the entry that reads the store is killed as a target is removed.

--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -230,6 +230,45 @@
         return {}
 
 
+class StoreDoor(Store):
+    """The address of the store that one entry is told; closes idle connections.
+
+    :param store: the :class:`Store` whose rows it serves
+    :param idle_s: time after which an idle connection is closed, as its answers say
+    """
+
+    def __init__(self, store, *, idle_s):
+        Server.__init__(self)
+        self.store, self.idle_s = store, idle_s
+        self.read_at = float("-inf")
+        self.closed_idle = 0
+
+    def serve(self, connection):
+        wire = Wire(connection)
+        connection.settimeout(self.idle_s)
+        while True:
+            try:
+                method, target, headers = wire.request()
+            except TimeoutError:
+                self.closed_idle += 1
+                return
+            body = wire.exactly(int(headers.get("content-length", 0)))
+            parsed = urllib.parse.urlsplit(target)
+            query = dict(urllib.parse.parse_qsl(parsed.query, keep_blank_values=True))
+            time.sleep(self.store.delay)
+            document = self.store._perform(parsed.path, query, body)
+            connection.sendall(
+                encode(
+                    200,
+                    [("Content-Type", "application/json"),
+                     ("Keep-Alive", f"timeout={self.idle_s:.0f}")],
+                    json.dumps(document).encode(),
+                )
+            )
+            if query.get("table") == "servers":
+                self.read_at = now()
+
+
 class Target(Server):
     """A sound target that registers itself and serves one request a connection."""
 
