--- a/review/standins-3/world.py
+++ b/review/standins-2/deployment.py
@@ -17,7 +17,7 @@
 import time
 import urllib.parse
 
-ROOT = pathlib.Path(os.environ.get("CHECKOUT") or pathlib.Path(__file__).resolve().parents[2])
+ROOT = pathlib.Path(__file__).resolve().parents[2]
 RESET = struct.pack("ii", 1, 0)
 SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
 
@@ -404,7 +404,7 @@
             "MONSOONLINE_NODE_FILE": str(self.path),
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "PYTHONDONTWRITEBYTECODE": "1",
-            "MALLOC_ARENA_MAX": "2",
+            "MALLOC_ARENA_MAX": "1",
         }
         log = open(self.folder / f"{self.name}.log", "ab")
         self.process = subprocess.Popen(
