--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -33,6 +33,8 @@
         self._file = open(path, "w") if path else sys.stdout
         self._lock = threading.Lock()
         self.started = now()
+        trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.write(f"TROUBLE={int(trouble)}, machine {os.uname().machine}")
 
     def write(self, text):
         with self._lock:
