Release the UDP port of an entry's link when it closes

Cause: FleetLink.close closed its socket while its receiving thread waited in recvfrom. The system call keeps the socket, and so the port, until a datagram arrives. Besides, the tests chose ports by TCP alone, and from the range of outgoing connections.

Change: close() shuts the socket down, which wakes the thread, waits for it to end and then closes the socket. The tests choose ports that are free for TCP and UDP, below the range of outgoing connections.

--- a/src/monsoonline/entry/fleet_link.py
+++ b/src/monsoonline/entry/fleet_link.py
@@ -1,5 +1,6 @@
 """Messages between entries: heartbeats, read, load and failure notices, and states."""
 
+import contextlib
 import http.client
 import json
 import logging
@@ -47,6 +48,8 @@
 # Fits into one IP packet at the usual MTU of 1,500 bytes.
 MAX_DATAGRAM_BYTES = 1400
 RECEIVE_BUFFER_BYTES = 64 << 10
+# Longest wait of close() for the thread that receives messages.
+CLOSE_TIMEOUT_MS = 200.0
 STATE_PATH = "/fleet/state"
 
 logger = logging.getLogger(__name__)
@@ -109,21 +112,24 @@
         self._lock = threading.Lock()
         self._fetch_from = None
         self._fetch_requested = threading.Event()
+        self._receiver = None
 
     def start(self):
         """Start the threads that receive messages, send notices and fetch states."""
-        for task in (
-            self._receive,
-            self._send_heartbeats,
-            self._run_fetches,
-            self._send_failures,
-        ):
-            start_task(task, stopping=self._stopping, on_error=self._count_failure)
+        self._receiver = self._start_task(self._receive)
+        for task in (self._send_heartbeats, self._run_fetches, self._send_failures):
+            self._start_task(task)
 
     def close(self):
-        """Stop without telling the other entries."""
+        """Stop without telling the other entries, and release the port."""
         self._stopping.set()
         self._fetch_requested.set()
+        # A port stays bound while a thread waits in a system call for its socket.
+        # Linux wakes the thread, though it reports that the socket is not connected.
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+        if self._receiver is not None:
+            self._receiver.join(CLOSE_TIMEOUT_MS / 1e3)
         self._socket.close()
 
     def announce(self):
@@ -256,6 +262,9 @@
             self._gate.note_read(now - copy.read_age_ms)
         return True
 
+    def _start_task(self, task):
+        return start_task(task, stopping=self._stopping, on_error=self._count_failure)
+
     def _count_failure(self):
         self._metrics.count("fleet_link_failures_total")
 
@@ -271,6 +280,8 @@
                 # Linux reports a closed port of a peer as an error of the next receive.
                 logger.debug("receive failed", extra={"error": repr(error)})
                 continue
+            if self._stopping.is_set():
+                return
             self._metrics.count("fleet_messages_received_total")
             try:
                 message = decode_datagram(content)
--- a/tests/entry/test_fleet_service.py
+++ b/tests/entry/test_fleet_service.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import http.client
 import json
+import random
 import socket
 import threading
 import time
@@ -20,12 +21,27 @@
 
 # Time within which a draining target or a configuration must reach all entries.
 PROPAGATION_LIMIT_S = 2.0
+FREE_PORTS = (20_000, 32_768)
 
 
 def free_address():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{listener.getsockname()[1]}"
+    """Return an address whose port is free for both TCP and UDP.
+
+    The port is outside of the range from which Linux takes those of outgoing
+    connections, so none of these gets it before the entry starts.
+    """
+    while True:
+        address = ("127.0.0.1", random.randrange(*FREE_PORTS))
+        with (
+            socket.socket() as stream,
+            socket.socket(type=socket.SOCK_DGRAM) as datagrams,
+        ):
+            try:
+                stream.bind(address)
+                datagrams.bind(address)
+            except OSError:
+                continue
+            return "{}:{}".format(*address)
 
 
 def is_free(settings):
