Close the connection of a caller that is lost while its response is sent

Cause: the thread of a connection waited until all bytes of the response had left. waitress reports a lost connection as 0 bytes sent and leaves closing it to its own loop, which this server does not run. poll returns at once for a socket with an error, so the thread never ended. The same wait had no end after an error that waitress does not count as a lost connection, after an ordinary close with unread bytes, and none in total for a caller that reads a little before each send times out.

Change: ConnectionChannel.send waits for room until a deadline for all buffered bytes, and closes the connection at any other error. Nothing stays in the buffers, so the loop around them is gone.

--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -31,7 +31,7 @@
 RECEIVE_BYTES = 64 << 10
 # Exceeds the largest response, since no other thread drains a channel's buffer.
 MAX_OUTPUT_BYTES = 64 << 20
-# Maximum time for a caller to receive a response.
+# Maximum time for a caller to receive all buffered bytes of a response.
 TRANSFER_TIMEOUT_MS = 30_000.0
 BACKLOG = 1024
 # Maximum delay until the accept loop detects a stop.
@@ -162,6 +162,8 @@
     # Time of the last write of a response, None while no response is being written.
     # The caller can act on the response before this thread continues.
     last_write_at = None
+    # Time by which the buffered bytes must be sent.
+    _send_deadline = 0.0
     _idle_timeout_ms = None
 
     def __init__(self, *args, **fields):
@@ -186,14 +188,12 @@
                 logger.debug("connection was already closed")
         return True
 
-    def set_kernel_timeouts(self):
-        """Use blocking sends and receives with timeouts in the kernel.
+    def use_blocking_receives(self):
+        """Use blocking receives with a timeout in the kernel.
 
         waitress makes the socket non-blocking, which costs a poll for each call.
         """
         self.socket.setblocking(True)
-        send = to_timeval(TRANSFER_TIMEOUT_MS)
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, send)
         self._apply_idle_timeout()
 
     def _apply_idle_timeout(self):
@@ -208,13 +208,14 @@
     def serve(self):
         """Handle requests in order until either side closes the connection."""
         try:
-            self.set_kernel_timeouts()
+            self.use_blocking_receives()
             while self.connected and not self.close_when_flushed:
                 if not self._receive_request():
                     break
                 while self.requests and self.connected:
                     self.service()
-                    if not self._flush():
+                    if self.total_outbufs_len:
+                        # Left by an unexpected error that waitress has logged.
                         return
         except OSError:
             # The caller reset the connection, so no response can be sent.
@@ -230,6 +231,31 @@
         self.last_write_at = time.monotonic()
         return super().write_soon(data)
 
+    def send(self, data, do_close=True):
+        """Send some bytes; called by waitress until its buffers are empty.
+
+        Closes the connection if it is lost or the caller does not receive in time.
+        waitress leaves bytes that cannot be sent in its buffers for its own loop.
+
+        :returns: number of bytes sent, 0 after closing the connection
+        """
+        while True:
+            try:
+                return self.socket.send(data, socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                remaining_ms = (self._send_deadline - time.monotonic()) * 1e3
+                if remaining_ms > 0 and self._wait(select.POLLOUT, remaining_ms):
+                    continue
+            except OSError as error:
+                logger.debug("connection lost", extra={"error": repr(error)})
+            self.handle_close()
+            return 0
+
+    def _flush_some(self, do_close=True):
+        """Send all buffered bytes, or close the connection; called by waitress."""
+        self._send_deadline = time.monotonic() + TRANSFER_TIMEOUT_MS / 1e3
+        return super()._flush_some(do_close=do_close)
+
     def _receive_request(self):
         self.last_write_at = None
         with self._idle_lock:
@@ -250,19 +276,12 @@
 
     def _receive_remainder(self):
         deadline = time.monotonic() + self.server.limits.header_timeout_ms / 1e3
-        while not self.requests and self.connected and self._flush():
+        while not self.requests and self.connected:
             remaining_ms = (deadline - time.monotonic()) * 1e3
             if remaining_ms <= 0 or not self._wait(select.POLLIN, remaining_ms):
                 raise BlockingIOError("the request did not arrive in time")
             self.handle_read()
 
-    def _flush(self):
-        while self.total_outbufs_len and self.connected:
-            if not self._wait(select.POLLOUT, TRANSFER_TIMEOUT_MS):
-                return False
-            self._flush_some(do_close=False)
-        return self.connected
-
     def _wait(self, events, timeout_ms):
         poller = select.poll()
         poller.register(self.socket, events)
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -1,13 +1,17 @@
 """Tests of the HTTP server with raw sockets."""
 
 import contextlib
+import errno
+import itertools
 import socket
+import struct
 import threading
 import time
 import unittest
 import unittest.mock
 from unittest import mock
 
+from monsoonline.adapters import http_server
 from monsoonline.adapters.http_server import (
     ConnectionChannel,
     HttpServer,
@@ -243,6 +247,104 @@
         self.assertIn(b"Connection: close", received)
 
 
+class TestLostCallers(ServerCase):
+    """A connection whose caller is gone costs nothing once its request has ended."""
+
+    # More than the buffers of both sides take.
+    LARGE_BODY = b"x" * (32 << 20)
+    CALM_S = 0.5
+    BUSY_SHARE = 0.2
+
+    def setUp(self):
+        super().setUp()
+        self.entered, self.leave = threading.Event(), threading.Event()
+        self.addCleanup(self.leave.set)
+        self.body = b"done"
+
+    def handle(self, request):
+        self.entered.set()
+        self.leave.wait(TIMEOUT_SECONDS)
+        return Answer(status=200, body=self.body)
+
+    def request(self):
+        """Send a request and wait until its handler runs."""
+        connection = self.connect()
+        connection.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertTrue(self.entered.wait(TIMEOUT_SECONDS))
+        return connection
+
+    @staticmethod
+    def reset(connection):
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        connection.close()
+
+    def assert_connection_ends(self):
+        """Check that the connection is gone, and that no thread spins for it."""
+        began, used = time.monotonic(), time.process_time()
+        while self.server.open_connections and time.monotonic() < began + self.CALM_S:
+            time.sleep(0.02)
+        used_s = time.process_time() - used
+        self.assertEqual(self.server.open_connections, 0)
+        self.assertEqual(self.server.requests_in_flight, 0)
+        self.assertLess(used_s, self.BUSY_SHARE * self.CALM_S)
+
+    def test_response_to_a_reset_connection_is_flushed_without_end(self):
+        """Guards against a thread that spins for ever after its caller's reset."""
+        self.reset(self.request())
+        self.leave.set()
+        self.assert_connection_ends()
+
+    def test_response_to_a_closed_connection_is_flushed_without_end(self):
+        """Guards against the same spin when a caller closes before it has read all."""
+        self.body = self.LARGE_BODY
+        connection = self.request()
+        self.leave.set()
+        connection.recv(1024)
+        connection.close()
+        self.assert_connection_ends()
+
+    def test_response_after_another_socket_error_is_flushed_without_end(self):
+        """Guards against errors that waitress does not count as a lost connection.
+
+        The system reports such an error once, and a closed connection from then on.
+        """
+        connection = self.request()
+        (channel,) = self.server._server.active_channels.values()
+        broken = mock.Mock(wraps=channel.socket)
+        unreachable = OSError(errno.EHOSTUNREACH, "no route to host")
+        closed = itertools.repeat(BrokenPipeError(errno.EPIPE, "broken pipe"))
+        broken.send.side_effect = itertools.chain([unreachable], closed)
+        channel.socket = broken
+        self.leave.set()
+        self.assert_connection_ends()
+        connection.close()
+
+    def test_slow_caller_holds_its_connection_without_end(self):
+        """Guards against a caller that reads a little before each send times out."""
+        self.body = self.LARGE_BODY
+        connection = self.request()
+        self.leave.set()
+        with mock.patch.object(http_server, "TRANSFER_TIMEOUT_MS", 300.0):
+            ends_at = time.monotonic() + 2.0
+            while self.server.open_connections and time.monotonic() < ends_at:
+                with contextlib.suppress(ConnectionResetError):
+                    connection.recv(4096)
+                time.sleep(0.01)
+        self.assertEqual(self.server.open_connections, 0)
+
+    def test_server_at_its_limit_serves_after_many_resets(self):
+        """Guards against places that lost connections keep for ever."""
+        for _ in range(3 * self.workers):
+            self.entered.clear()
+            self.leave.clear()
+            self.reset(self.request())
+            self.leave.set()
+        self.assert_connection_ends()
+        content = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        self.assertIn(b"200 OK", self.send(content))
+
+
 class TestConnectionLimit(ServerCase):
     """The number of connections, and so of threads, is limited."""
 
