Check in the soak what entries keep for callers that have left

No run looked at an entry after its callers had left, so threads and connections that reset callers left behind were not seen. Nor did the soak look at memory, or let upstreams send bytes without end.

Change: one request in twenty is reset by its caller; the trouble `endless` lets a third of the upstreams send one of eleven kinds of endless bytes, with sound or endless probes. After each run an entry must use less than 0.02 cores and hold no connection, request or attempt; it must have stayed below the memory of its machine and not ended by itself; a 200 must have an upstream's body. The gauges monsoonline_caller_connections, monsoonline_requests_in_flight and monsoonline_upstream_attempts_open are new.

--- a/src/monsoonline/entry/fleet_service.py
+++ b/src/monsoonline/entry/fleet_service.py
@@ -375,6 +375,12 @@
         self._metrics.observe("request_ms", self._clock.now() - started)
         return response
 
+    def _measure_use(self):
+        """Set the gauges of what is in use, each 0 while there are no callers."""
+        self._metrics.gauge("caller_connections", self._callers.open_connections)
+        self._metrics.gauge("requests_in_flight", self._callers.requests_in_flight)
+        self._metrics.gauge("upstream_attempts_open", self._relay.open_attempts)
+
     def _handle_status_request(self, request):
         """Return the response to a readiness, discovery or metrics request."""
         if request.path == self._dialect.readiness_path:
@@ -387,6 +393,7 @@
                 addresses, self._settings.discovery_lifetime_ms
             )
         if request.path == "/metrics":
+            self._measure_use()
             content, headers = self._metrics.render()
             return Answer(status=200, headers=tuple(headers.items()), body=content)
         return Answer(status=404)
--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -231,6 +231,11 @@
         """The :class:`monsoonline.entry.permits.UpstreamPermits`."""
         return self._permits
 
+    @property
+    def open_attempts(self):
+        """Number of attempts that wait for a response."""
+        return self._pools.open_attempts
+
     def refresh_limits(self):
         """Read the limits of this entry's own upstreams that were not read lately.
 
--- a/src/monsoonline/entry/served_pools.py
+++ b/src/monsoonline/entry/served_pools.py
@@ -88,6 +88,12 @@
         self._registrations = {}
         self._pools = {}
         self._work = {}
+        self._open_attempts = 0
+
+    @property
+    def open_attempts(self):
+        """Number of attempts that have not ended, over all upstreams."""
+        return self._open_attempts
 
     @property
     def has_tables(self):
@@ -190,11 +196,13 @@
         """Count an attempt that is sent to an upstream."""
         with self._lock:
             state.in_flight += 1
+            self._open_attempts += 1
 
     def note_ended(self, served, state, kind):
         """Record the end and the result of an attempt."""
         with self._lock:
             state.in_flight -= 1
+            self._open_attempts -= 1
         self.note_result(served, state, kind)
 
     def note_result(self, served, state, kind):
--- a/tests/tools/test_soak.py
+++ b/tests/tools/test_soak.py
@@ -7,6 +7,7 @@
     Bounds,
     Change,
     History,
+    IdleUse,
     Response,
     Run,
     find_violations,
@@ -100,6 +101,39 @@
         self.history.leaving["i1"] = 17.5
         self.assertEqual(self.rules(response(), runs=[office]), ["DRAIN"])
 
+    def test_entry_that_works_for_callers_that_have_left(self):
+        held = {"caller_connections": 0.0, "requests_in_flight": 0.0}
+        calm = IdleUse(entry="e", cores=0.005, held=held)
+        busy = IdleUse(entry="e", cores=0.87, held=held)
+        holding = IdleUse(entry="e", cores=0.005, held=held | {"requests_in_flight": 1})
+        for use, expected in ((calm, []), (busy, ["IDLE"]), (holding, ["IDLE"])):
+            with self.subTest(use=use):
+                self.history.idle_uses = [use]
+                self.assertEqual(self.rules(), expected)
+
+    def test_entry_that_runs_out_of_memory(self):
+        fields = {"entry": "e", "cores": 0.0, "held": {}}
+        for changes, expected in (
+            ({"peak_bytes": 100_000_000}, []),
+            ({"peak_bytes": 236_000_000}, ["Fault"]),
+            ({"own_ends": 1}, ["Fault"]),
+        ):
+            with self.subTest(changes=changes):
+                self.history.idle_uses = [IdleUse(**fields, **changes)]
+                self.assertEqual(self.rules(), expected)
+
+    def test_part_of_a_body_is_no_whole_response(self):
+        ran = run(service="office")
+        self.assertEqual(self.rules(response(whole=False), runs=[ran]), ["MIXED"])
+
+    def test_reset_by_the_caller_is_no_lost_request(self):
+        self.history.stops["e"] = [[19.0, 23.0]]
+        cut = response(status=None, ended_at=22.0)
+        left = response(status=None, ended_at=22.0, reset=True)
+        ran = run(service="office")
+        self.assertEqual(self.rules(cut, runs=[ran]), ["LOST"])
+        self.assertEqual(self.rules(left, runs=[ran]), [])
+
 
 class TestSoak(unittest.TestCase):
     """Real entries keep the rules under overlapping troubles."""
@@ -111,6 +145,8 @@
         findings = find_violations(history)
         self.assertGreater(len(history.responses), 100)
         self.assertGreater(len(history.troubles), 0)
+        self.assertEqual(len(history.idle_uses), plan.entries)
+        self.assertTrue(any(response.reset for response in history.responses))
         self.assertEqual(
             [f for f in findings if "out of touch" not in f.rule], [], findings
         )
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -63,6 +63,12 @@
     findings = find_violations(history)
     statuses = collections.Counter(str(r.status) for r in history.responses)
     print(f"seed {seed}: {len(history.responses)} requests, {dict(statuses)}")
+    busiest = max((use.cores for use in history.idle_uses), default=0.0)
+    largest = max((use.peak_bytes for use in history.idle_uses), default=0)
+    print(
+        f"an entry used at most {largest / 1e6:.0f} MB, and {busiest:.4f} cores at "
+        "the end"
+    )
     print(f"{len(history.changes)} versions, troubles {count_troubles(history)}")
     for rule, found in group(findings).items():
         print(f"{rule}: {len(found)}")
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -3,6 +3,8 @@
 import http.client
 import json
 import random
+import socket
+import struct
 import threading
 import time
 
@@ -16,6 +18,11 @@
 MAX_REQUESTS_PER_CONNECTION = 30
 LONG_WORK_SHARE = 0.1
 LONG_WORK_S = 1.2
+UPSTREAM_BODY = b"ok"
+RESET_SHARE = 0.05
+# Longest time between a request and the reset of its connection.
+RESET_DELAY_S = 0.1
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def prefixes_of(version, lifetime):
@@ -88,13 +95,17 @@
             "X-Work-S": str(LONG_WORK_S if long_work else 0.02),
         }
         method, body = ("GET", None) if safe else ("POST", b"order")
+        reset = self._generator.random() < RESET_SHARE
         sent_at = time.monotonic()
-        status, code, reusable = None, "", False
+        status, code, reusable, whole = None, "", False, True
         try:
             connection.request(method, f"{prefix}1", body=body, headers=headers)
+            if reset:
+                self._reset(connection)
             response = connection.getresponse()
             content = response.read()
             status, reusable = response.status, not response.will_close
+            whole = status != 200 or content == UPSTREAM_BODY
             if status >= 400 and content.startswith(b"{"):
                 code = json.loads(content).get("error", "")
         except (OSError, http.client.HTTPException, ValueError):
@@ -109,10 +120,21 @@
                 ended_at=time.monotonic(),
                 status=status,
                 code=code,
+                reset=reset,
+                whole=whole,
             )
         )
         return reusable
 
+    def _reset(self, connection):
+        """Reset the connection while its request may be running.
+
+        :raises ConnectionAbortedError: always, as no response can be read
+        """
+        time.sleep(self._generator.uniform(0, RESET_DELAY_S))
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        raise ConnectionAbortedError("the caller resets its connection")
+
 
 def call_entries(
     entries, current, stopping, responses, *, callers, lifetime, pause_s, seed
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -1,5 +1,6 @@
 """Entry processes of the deploy file, on loopback."""
 
+import contextlib
 import http.client
 import json
 import os
@@ -16,8 +17,13 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TEMPLATE = ROOT / "deploy" / "settings.json.template"
+HELD_GAUGES = ("caller_connections", "requests_in_flight", "upstream_attempts_open")
+GAUGE = re.compile(r"^monsoonline_(\w+)(?:\{\})? (\S+)$", re.MULTILINE)
+PEAK_KB = re.compile(r"^VmHWM:\s*(\d+) kB", re.MULTILINE)
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PLACEHOLDER = re.compile(r"\{\{([a-z_0-9.]+)(\|json)?\}\}")
 READY_TIMEOUT_S = 20.0
+TIMEOUT_S = 1.0
 POLL_S = 0.02
 
 
@@ -77,6 +83,8 @@
         self._settings = folder / f"{name}.json"
         self._settings.write_text(render(TEMPLATE.read_text(), fields))
         self._process = None
+        # Processes that ended without a signal that ends them.
+        self.own_ends = 0
 
     @property
     def running(self):
@@ -87,6 +95,8 @@
         """Start the process."""
         environment = {n: os.environ[n] for n in ("PATH", "HOME") if n in os.environ}
         environment["MONSOONLINE_NODE_FILE"] = str(self._settings)
+        # As on the platform; each arena of the allocator keeps freed memory.
+        environment["MALLOC_ARENA_MAX"] = "1"
         with self.log.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "deploy/entry.py"],
@@ -112,15 +122,38 @@
 
     def ready(self):
         """Return whether the entry reports that it is ready."""
-        host, _, port = self.ready_address.rpartition(":")
-        connection = http.client.HTTPConnection(host, int(port), timeout=1.0)
         try:
-            connection.request("GET", "/-/ready")
-            return connection.getresponse().status == 200
+            return self._get("/-/ready").status == 200
         except (OSError, http.client.HTTPException):
             return False
-        finally:
-            connection.close()
+
+    def held_gauges(self):
+        """Return the gauges of what callers and their requests hold, by name."""
+        values = dict(GAUGE.findall(self._get("/metrics").read().decode()))
+        return {name: float(values[name]) for name in HELD_GAUGES}
+
+    def processor_s(self):
+        """Return the processor time in s that the process has used."""
+        stat = pathlib.Path(f"/proc/{self._process.pid}/stat").read_text()
+        fields = stat.rpartition(")")[2].split()
+        user_ticks, system_ticks = int(fields[11]), int(fields[12])
+        return (user_ticks + system_ticks) / CLOCK_TICKS_PER_S
+
+    def peak_bytes(self):
+        """Return the largest resident memory of the process, in bytes."""
+        status = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        return int(PEAK_KB.search(status)[1]) << 10
+
+    def _note_own_end(self):
+        if self._process is not None and self._process.poll() is not None:
+            self.own_ends += 1
+
+    def _get(self, path):
+        host, _, port = self.ready_address.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT_S)
+        with contextlib.closing(connection):
+            connection.request("GET", path, headers={"Connection": "close"})
+            return connection.getresponse()
 
     def signal(self, number):
         """Send a signal."""
@@ -129,6 +162,7 @@
 
     def kill(self):
         """End the process at once."""
+        self._note_own_end()
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
         if self._process is not None:
@@ -136,6 +170,7 @@
 
     def terminate(self):
         """Stop the process as the platform does; return its exit code."""
+        self._note_own_end()
         self.signal(signal.SIGTERM)
         try:
             return self._process.wait(self._grace_s)
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -9,6 +9,7 @@
     "Change",
     "Finding",
     "History",
+    "IdleUse",
     "Response",
     "find_violations",
 ]
@@ -17,6 +18,10 @@
 # Time after the exit of a process in which callers notice that it has ended.
 EXIT_SLACK_S = 0.25
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# Memory of a machine of the platform.
+MAX_MEMORY_BYTES = 235_000_000
+# Processor cores that an entry without callers may use.
+MAX_IDLE_CORES = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -61,6 +66,8 @@
     :param ended_at: time in s of the response or the end of the connection
     :param status: status of the response, ``None`` if the connection ended without one
     :param code: error code of a refusal
+    :param reset: whether the caller reset its connection instead of waiting
+    :param whole: whether a response with status 200 had the body of an upstream
     """
 
     entry: str
@@ -71,6 +78,8 @@
     ended_at: float
     status: int | None
     code: str = ""
+    reset: bool = False
+    whole: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -89,6 +98,24 @@
     started_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class IdleUse:
+    """What an entry uses while it has neither callers nor trouble.
+
+    :param entry: name of the entry
+    :param cores: processor cores in use
+    :param held: gauges of the entry's metrics that must be 0, by name
+    :param peak_bytes: largest resident memory of its process, in bytes
+    :param own_ends: how many of its processes ended by themselves
+    """
+
+    entry: str
+    cores: float
+    held: dict[str, float]
+    peak_bytes: int = 0
+    own_ends: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Finding:
     """A broken rule.
@@ -119,6 +146,8 @@
         self.troubles = {}
         # Planned stops by entry: lists of the times in s of SIGTERM and of the exit.
         self.stops = {}
+        # What the entries use after the end of the soak.
+        self.idle_uses = []
 
     def begin_trouble(self, entry, kind):
         """Record that an entry, or the store if ``None``, is in trouble from now on.
@@ -191,9 +220,34 @@
         findings.append(
             Finding(rule="UNASKED", text=f"{request_id} was sent by no caller")
         )
+    for use in history.idle_uses:
+        findings += check_idle_use(use)
     return findings
 
 
+def check_idle_use(use):
+    """Yield findings on an entry's processes, and on what it keeps for lost callers."""
+    if use.own_ends:
+        yield Finding(
+            rule="Fault", text=f"{use.entry} ended by itself {use.own_ends} times"
+        )
+    if use.peak_bytes > MAX_MEMORY_BYTES:
+        yield Finding(
+            rule="Fault",
+            text=f"{use.entry} used {use.peak_bytes} bytes of memory, at most "
+            f"{MAX_MEMORY_BYTES} are allowed",
+        )
+    if use.cores >= MAX_IDLE_CORES:
+        yield Finding(
+            rule="IDLE",
+            text=f"{use.entry} uses {use.cores:.3f} cores without any caller, "
+            f"expected less than {MAX_IDLE_CORES}",
+        )
+    held = {name: value for name, value in use.held.items() if value}
+    if held:
+        yield Finding(rule="IDLE", text=f"{use.entry} holds {held} without any caller")
+
+
 def check_configuration(history, response, runs):
     """Yield findings on a request that was handled as only an older version allows."""
     versions = history.versions_in_force(response.sent_at, response.ended_at)
@@ -230,6 +284,8 @@
 def check_runs(history, response, runs):
     """Yield findings on how often a request ran, compared with its response."""
     ran = f"{response.entry} {response.request_id} {response.status}"
+    if not response.whole:
+        yield Finding(rule="MIXED", text=f"{ran} without the body of an upstream")
     if len(runs) > 1 and not response.safe:
         yield Finding(rule="TWICE", text=f"{ran} ran {len(runs)} times")
     if runs and not response.safe and response.status in NOT_RUN_STATUSES:
@@ -241,7 +297,7 @@
 
     Requests that end later were taken by the next process of the entry.
     """
-    if response.status is not None or not runs:
+    if response.status is not None or response.reset or not runs:
         return
     for stopped_at, exited_at in history.stops.get(response.entry, ()):
         if stopped_at <= response.ended_at <= exited_at + EXIT_SLACK_S:
--- a/tools/soak/upstreams.py
+++ b/tools/soak/upstreams.py
@@ -1,15 +1,48 @@
 """Process with upstreams of the platform that run requests and report them."""
 
+import dataclasses
 import http.server
+import itertools
 import socketserver
 import threading
 import time
 
 from tools.soak.history import Run
 
-__all__ = ["serve_upstreams"]
+__all__ = ["ENDLESS_RESPONSES", "serve_upstreams"]
 
 REPORT_INTERVAL_S = 0.2
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EndlessResponse:
+    """Bytes that an upstream sends until the connection is closed.
+
+    :param start: bytes to send first
+    :param repeated: bytes to send again and again
+    :param interval_s: pause between these sends, in s
+    """
+
+    start: bytes = HEAD
+    repeated: bytes
+    interval_s: float = 0.001
+
+
+ENDLESS_RESPONSES = (
+    EndlessResponse(start=b"", repeated=b"H" * 4096),
+    EndlessResponse(start=HEAD + b"X: ", repeated=b"x" * 4096),
+    EndlessResponse(repeated=b"X: y\r\n" * 512),
+    EndlessResponse(start=b"", repeated=b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    EndlessResponse(start=HEAD + b"\r\n", repeated=b"x" * 65536),
+    EndlessResponse(start=CHUNKED, repeated=b"1;" + b"x" * 900 + b"\r\nx\r\n"),
+    EndlessResponse(start=CHUNKED + b"1;", repeated=b"x" * 4096),
+    EndlessResponse(start=CHUNKED + b"0\r\n", repeated=b"X: y\r\n" * 512),
+    EndlessResponse(start=HEAD + b"\r\n", repeated=b"x" * 65536, interval_s=0.02),
+    EndlessResponse(start=HEAD + b"X: ", repeated=b"x", interval_s=0.1),
+    EndlessResponse(start=HEAD + b"\r\n", repeated=b"x", interval_s=0.1),
+)
 
 
 class Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
@@ -38,9 +71,23 @@
     :param slots: requests that it processes at a time
     :param health_path: path of its load probes
     :param report: called with each :class:`Run`
+    :param fault: shared number of the :data:`ENDLESS_RESPONSES` that it sends instead
+        of its own, from 1, negative to answer probes properly; 0 for none
     """
 
-    def __init__(self, *, host, port, instance, service, slots, health_path, report):
+    def __init__(
+        self,
+        *,
+        host,
+        port,
+        instance,
+        service,
+        slots,
+        health_path,
+        report,
+        fault,
+    ):
+        self._fault = fault
         self._instance, self._service, self._slots = instance, service, slots
         self._health_path = health_path
         self._report = report
@@ -69,7 +116,10 @@
         handler.rfile.read(int(handler.headers.get("Content-Length", 0)))
         request_id = handler.headers.get("X-Request-Id")
         intended = handler.headers.get("X-Intended-Instance", self._instance)
-        if handler.path == self._health_path:
+        fault = self._fault.value
+        if fault > 0 or (fault < 0 and handler.path != self._health_path):
+            self._send_endlessly(handler, request_id)
+        elif handler.path == self._health_path:
             self._respond(handler, 200, request_id, ("X-Instance-Id", self._instance))
         elif intended != self._instance:
             self._respond(handler, 421, request_id)
@@ -78,13 +128,22 @@
         else:
             self._run(handler, request_id)
 
-    def _run(self, handler, request_id):
-        with self._lock:
-            full = self._running >= self._slots
-            self._running += not full
-        if full:
-            self._respond(handler, 503, request_id, ("X-Not-Executed", "1"))
-            return
+    def _send_endlessly(self, handler, request_id):
+        """Send an endless response until the fault ends or the peer closes."""
+        handler.close_connection = True
+        number = self._fault.value
+        if handler.path != self._health_path:
+            self._report_run(request_id)
+        endless = ENDLESS_RESPONSES[abs(number) - 1]
+        for content in itertools.chain(
+            [endless.start], itertools.repeat(endless.repeated)
+        ):
+            if self._fault.value != number:
+                return
+            handler.connection.sendall(content)
+            time.sleep(endless.interval_s)
+
+    def _report_run(self, request_id):
         run = Run(
             request_id=request_id,
             service=self._service,
@@ -92,6 +151,15 @@
             started_at=time.monotonic(),
         )
         self._report(run)
+
+    def _run(self, handler, request_id):
+        with self._lock:
+            full = self._running >= self._slots
+            self._running += not full
+        if full:
+            self._respond(handler, 503, request_id, ("X-Not-Executed", "1"))
+            return
+        self._report_run(request_id)
         time.sleep(float(handler.headers.get("X-Work-S", 0.02)))
         with self._lock:
             self._running -= 1
@@ -111,14 +179,18 @@
         handler.wfile.flush()
 
 
-def serve_upstreams(specifications, reports):
+def serve_upstreams(specifications, faults, reports):
     """Serve upstreams until the process is ended.
 
     :param specifications: arguments of each :class:`Upstream`
+    :param faults: shared numbers of the faults of all upstreams, by id
     :param reports: queue for lists of :class:`Run`
     """
     pending = []
-    upstreams = [Upstream(**fields, report=pending.append) for fields in specifications]
+    upstreams = [
+        Upstream(**fields, report=pending.append, fault=faults[fields["instance"]])
+        for fields in specifications
+    ]
     while upstreams:
         time.sleep(REPORT_INTERVAL_S)
         batch = pending[:]
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -13,8 +13,8 @@
 from tools.fleet.processes import find_free_ports
 from tools.soak.callers import HOST, call_entries, prefixes_of
 from tools.soak.fleet import EntryProcess
-from tools.soak.history import Bounds, Change, History
-from tools.soak.upstreams import serve_upstreams
+from tools.soak.history import Bounds, Change, History, IdleUse
+from tools.soak.upstreams import ENDLESS_RESPONSES, serve_upstreams
 
 from monsoonline.standin.row_store import RowStoreFaults, RowStoreStandIn
 
@@ -29,6 +29,8 @@
 SLOTS = 4
 SETTLE_S = 4.0
 COLLECT_S = 0.5
+# Time over which the use of an idle entry is measured.
+IDLE_S = 5.0
 # Time that a leaving upstream goes on serving after its notice.
 LEAVING_S = 8.0
 TROUBLES = {}
@@ -105,6 +107,7 @@
             self._start()
             time.sleep(SETTLE_S)
             self._run_threads()
+            self._measure_idle_uses()
         finally:
             self._close()
         return self.history
@@ -178,11 +181,14 @@
             }
             for number, port in enumerate(ports)
         ]
+        self._faults = {
+            fields["instance"]: self._context.Value("i", 0, lock=False)
+            for fields in specifications
+        }
         for part in range(UPSTREAM_PROCESSES):
-            self._spawn(
-                serve_upstreams,
-                (specifications[part::UPSTREAM_PROCESSES], self._reports),
-            )
+            own = specifications[part::UPSTREAM_PROCESSES]
+            faults = {f["instance"]: self._faults[f["instance"]] for f in own}
+            self._spawn(serve_upstreams, (own, faults, self._reports))
         registered = 2 * len(ports) // 3
         self._spare = specifications[registered:]
         for fields in specifications[:registered]:
@@ -296,6 +302,32 @@
             except queue.Empty:
                 continue
 
+    def _measure_idle_uses(self):
+        """Record what the entries use once callers and troubles have ended."""
+        entries = list(self._entries.values())
+        for entry in entries:
+            entry.wait_ready()
+        time.sleep(SETTLE_S)
+        began = time.monotonic()
+        used = [entry.processor_s() for entry in entries]
+        time.sleep(IDLE_S)
+        seconds = time.monotonic() - began
+        cores = [
+            (entry.processor_s() - before) / seconds
+            for entry, before in zip(entries, used, strict=True)
+        ]
+        # The first scrape loads a library, which takes processor time.
+        self.history.idle_uses = [
+            IdleUse(
+                entry=entry.name,
+                cores=share,
+                held=entry.held_gauges(),
+                peak_bytes=entry.peak_bytes(),
+                own_ends=entry.own_ends,
+            )
+            for entry, share in zip(entries, cores, strict=True)
+        ]
+
     def _close(self):
         self._stopping.set()
         for process in self._processes:
@@ -389,6 +421,24 @@
         )
         self._store.write("servers", f"odd-{generator.randrange(3)}", content)
 
+    @trouble("endless")
+    def _send_without_end(self, seed):
+        """Let some upstreams send one kind of response without end.
+
+        Half of the times they answer probes properly.
+        """
+        generator = random.Random(seed)
+        number = generator.randrange(len(ENDLESS_RESPONSES)) + 1
+        number *= generator.choice((1, -1))
+        with self._lock:
+            count = max(1, len(self._registered) // 3)
+            chosen = generator.sample(self._registered, count)
+        for fields in chosen:
+            self._faults[fields["instance"]].value = number
+        time.sleep(generator.uniform(1.0, 5.0))
+        for fields in chosen:
+            self._faults[fields["instance"]].value = 0
+
     @trouble("leave")
     def _leave(self, seed):
         generator = random.Random(seed)
