Read states and responses of the store within limits of time and size

An address may be taken over by another process, and a faulty process may send bytes without end. The thread that fetches states from other entries, and the one that reads the store, were held for as long as bytes came, and kept all of them in memory: the entry's tables and registrations then stay as they are.

Cause: http.client limits the time of each receive, and read() takes whatever comes.

Change: BoundedConnection reads a response with the strict parser of upstream responses, until a deadline and up to a size. It is used for the store, for states of other entries and for the product's platform client.

--- a/src/monsoonline/adapters/platform.py
+++ b/src/monsoonline/adapters/platform.py
@@ -7,6 +7,7 @@
 import numpy
 import orjson
 
+from monsoonline.adapters.bounded_connection import BoundedConnection
 from monsoonline.adapters.circuit_breaker import (
     CircuitBreaker,
     RetryBudget,
@@ -20,6 +21,9 @@
 
 MAX_ATTEMPTS = 3
 INITIAL_BACKOFF_MS = 50.0
+# Time limit of a whole response that makes progress.
+RESPONSE_TIMEOUT_MS = 10_000.0
+MAX_RESPONSE_BYTES = 32 << 20
 SERVICES = ("tables", "objects", "machines")
 
 
@@ -215,8 +219,11 @@
         self._metrics.count(f"store_{kind}_total")
 
     def _exchange(self, method, target, body, *, headers=None):
-        connection = http.client.HTTPConnection(
-            self._netloc, timeout=self._timeout_ms / 1e3
+        connection = BoundedConnection(
+            address=self._netloc,
+            timeout_ms=self._timeout_ms,
+            response_timeout_ms=RESPONSE_TIMEOUT_MS,
+            max_bytes=MAX_RESPONSE_BYTES,
         )
         try:
             self._connect(connection, target)
@@ -244,12 +251,13 @@
 
     def _request(self, connection, method, target, body, headers):
         try:
-            connection.request(method, target, body=body, headers=headers)
-            response = connection.getresponse()
+            response = connection.exchange(
+                method, target, body=body, headers=headers
+            ).response
             return PlatformResponse(
                 status=response.status,
-                content=response.read(),
-                entity_tag=response.getheader("ETag", ""),
+                content=response.body,
+                entity_tag=response.header("ETag") or "",
             )
         except (OSError, http.client.HTTPException) as error:
             self._record_failure(target)
--- a/src/monsoonline/entry/fleet_link.py
+++ b/src/monsoonline/entry/fleet_link.py
@@ -9,6 +9,7 @@
 import threading
 import urllib.parse
 
+from monsoonline.adapters.bounded_connection import BoundedConnection
 from monsoonline.adapters.fleet_codec import (
     TABLES_COMPRESSION,
     decode_datagram,
@@ -45,6 +46,8 @@
 # Number of entries, on average, that repeat them to an entry that has just started.
 NEWCOMER_INFORMERS = 4
 TRANSFER_TIMEOUT_MS = 400.0
+# Time limit of a whole transfer that makes progress.
+WHOLE_TRANSFER_TIMEOUT_MS = 2_000.0
 # Fits into one IP packet at the usual MTU of 1,500 bytes.
 MAX_DATAGRAM_BYTES = 1400
 RECEIVE_BUFFER_BYTES = 64 << 10
@@ -224,9 +227,11 @@
         :param peer_address: ``host:port`` of the other entry
         :returns: whether the state was fetched and applied
         """
-        host, _, port = peer_address.rpartition(":")
-        connection = http.client.HTTPConnection(
-            host, int(port), timeout=TRANSFER_TIMEOUT_MS / 1e3
+        connection = BoundedConnection(
+            address=peer_address,
+            timeout_ms=TRANSFER_TIMEOUT_MS,
+            response_timeout_ms=WHOLE_TRANSFER_TIMEOUT_MS,
+            clock=self._clock,
         )
         query = urllib.parse.urlencode(
             {
@@ -236,12 +241,11 @@
             }
         )
         try:
-            connection.request("GET", f"{STATE_PATH}?{query}")
-            response = connection.getresponse()
-            content = response.read()
+            connection.connect()
+            response = connection.exchange("GET", f"{STATE_PATH}?{query}").response
             if response.status != 200:
                 raise ValueError(f"status {response.status}, expected 200")
-            copy = decode_state(content)
+            copy = decode_state(response.body)
         except (OSError, http.client.HTTPException, ValueError) as error:
             self._metrics.count("state_transfer_failures_total")
             logger.warning(
--- a/src/monsoonline/platform/store.py
+++ b/src/monsoonline/platform/store.py
@@ -10,6 +10,7 @@
 import threading
 import urllib.parse
 
+from monsoonline.adapters.bounded_connection import BoundedConnection
 from monsoonline.core.registrations import Listing
 from monsoonline.errors import FindingsError, StoreUnavailable
 from monsoonline.platform.documents import (
@@ -24,6 +25,10 @@
 # The store responds within a few ms. All entries must learn of a leaving upstream
 # within 2 s, which leaves time for two calls that time out.
 CALL_TIMEOUT_MS = 700.0
+# A page of 1 MB takes less time over the slowest links.
+RESPONSE_TIMEOUT_MS = 5_000.0
+# A page holds at most 1 MB of rows, whose values are encoded.
+MAX_RESPONSE_BYTES = 4 << 20
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
 TARGETS_TABLE = "servers"
@@ -46,9 +51,7 @@
     """
 
     def __init__(self, *, address, timeout_ms=CALL_TIMEOUT_MS):
-        host, _, port = address.rpartition(":")
-        self._host = host
-        self._port = int(port)
+        self._address = address
         self._timeout_ms = timeout_ms
         self._connection = None
         self._lock = threading.Lock()
@@ -63,26 +66,25 @@
         :raises StoreUnavailable: if there was no JSON response with status 200
         """
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
-        body = None if document is None else json.dumps(document)
+        body = None if document is None else json.dumps(document).encode()
         headers = {} if body is None else {"Content-Type": "application/json"}
         with self._lock:
             try:
-                connection = self._connect()
-                connection.request(method, target, body=body, headers=headers)
-                response = connection.getresponse()
-                content = response.read()
-                status = response.status
-                if response.will_close:
+                framed = self._connect().exchange(
+                    method, target, body=body, headers=headers
+                )
+                if not framed.keep_alive:
                     self._disconnect()
             except (OSError, http.client.HTTPException) as error:
                 self._disconnect()
                 raise StoreUnavailable(f"{method} {path}: {error!r}") from error
-        if status != HTTP_OK:
+        response = framed.response
+        if response.status != HTTP_OK:
             raise StoreUnavailable(
-                f"{method} {path}: status {status}, expected {HTTP_OK}"
+                f"{method} {path}: status {response.status}, expected {HTTP_OK}"
             )
         try:
-            return json.loads(content)
+            return json.loads(response.body)
         except ValueError as error:
             raise StoreUnavailable(
                 f"{method} {path}: response is not JSON: {error}"
@@ -95,9 +97,11 @@
 
     def _connect(self):
         if self._connection is None:
-            timeout = self._timeout_ms / 1e3
-            connection = http.client.HTTPConnection(
-                self._host, self._port, timeout=timeout
+            connection = BoundedConnection(
+                address=self._address,
+                timeout_ms=self._timeout_ms,
+                response_timeout_ms=RESPONSE_TIMEOUT_MS,
+                max_bytes=MAX_RESPONSE_BYTES,
             )
             connection.connect()
             connection.sock.setsockopt(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,13 +1,18 @@
 """Tests of the store client against a stand-in for the store."""
 
+import contextlib
 import json
+import threading
 import unittest
 from unittest import mock
 
 from monsoonline.errors import StoreUnavailable
+from monsoonline.platform import store
 from monsoonline.platform.documents import decode_registration
-from monsoonline.platform.store import PlatformStore
+from monsoonline.platform.store import PlatformStore, StoreConnection
 from monsoonline.standin.row_store import RowStoreStandIn
+from tests.adapters.endless_replies import ENDLESS_REPLIES
+from tests.adapters.scripted_upstream import ScriptedUpstream
 from tests.core.test_fleet import member
 from tests.platform.test_documents import CONFIGURATION, TARGET
 
@@ -109,3 +114,35 @@
                     self.store.read(0)
                 self.standin.faults = type(self.standin.faults)()
                 self.assertIsNotNone(self.store.read(0).tables)
+
+
+class TestEndlessResponses(unittest.TestCase):
+    """A call ends although the other side sends without end."""
+
+    def test_call_waits_for_the_end_of_a_response_without_end(self):
+        """Guards against a reader of the store that is held, or fills its memory."""
+        for name, reply in ENDLESS_REPLIES.items():
+            with self.subTest(name):
+                peer = ScriptedUpstream(script=lambda n, r, reply=reply: reply)
+                self.addCleanup(peer.close)
+                connection = StoreConnection(address=peer.address, timeout_ms=300.0)
+                with mock.patch.object(store, "RESPONSE_TIMEOUT_MS", 500.0):
+                    call = start_in_thread(lambda c=connection: c.call("GET", "/"))
+                    call.join(2.0)
+                ended = not call.is_alive()
+                peer.close()
+                call.join(5.0)
+                self.assertTrue(ended)
+                self.assertLess(peer.endless_bytes, 2 * store.MAX_RESPONSE_BYTES)
+
+
+def start_in_thread(call):
+    """Start a thread that makes a call and ignores that the store is unavailable."""
+
+    def run():
+        with contextlib.suppress(StoreUnavailable):
+            call()
+
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+    return thread
