Assemble responses without waiting, so that none hides another

Callers saw: a lookup with two attempts got 502 or 504 at its deadline although one upstream had answered, because the other one sent a byte now and then; and upstreams worked on for callers that had left once a response had begun to arrive.

Cause: a task that had begun to read a response waited for its last byte, until the deadline. Neither the other attempts nor the hedge timer nor the caller's connection were watched meanwhile; a slow answer to a probe delayed the other probes of its round.

Change: a session collects bytes as they arrive (ResponseAssembler) and returns a response once it is complete. The relay and the prober go on waiting for all of theirs. A hedge waits up to 100 ms for a response that has begun to arrive.

Evidence, arm64: on the sources before, test_response_without_end_hides_the_response_to_a_hedge and test_hedge_without_end_hides_the_response_to_the_first_attempt fail for a slow head and a slow body, and test_caller_that_leaves_during_a_slow_response_is_not_noticed fails; they pass now. Endless bytes to health probes end in time before and after (test_health_probe_waits_for_the_end_of_a_response_without_end).

--- a/src/monsoonline/adapters/http_response.py
+++ b/src/monsoonline/adapters/http_response.py
@@ -22,6 +22,7 @@
 MAX_INTERIM_RESPONSES = 8
 # Each chunk costs time to parse, however small it is.
 MAX_CHUNKS = 1 << 17
+MAX_CHUNK_LINE_BYTES = 1024
 READ_SIZE_BYTES = 64 << 10
 NO_BODY_STATUSES = frozenset((204, 304))
 SWITCHING_PROTOCOLS = 101
@@ -160,7 +161,7 @@
             return self.chunk_left
         if self.chunk_left == 0 and self.fp.read(2) != b"\r\n":
             raise FramingError("a chunk does not end with CRLF")
-        line = self.fp.readline(1024)
+        line = self.fp.readline(MAX_CHUNK_LINE_BYTES)
         match = CHUNK_SIZE.fullmatch(line)
         if match is None:
             raise FramingError(f"invalid chunk size line {line[:80]!r}")
@@ -221,6 +222,16 @@
     # end of the response.
     if not parser.isclosed() or (length is not None and len(body) != length):
         raise http.client.IncompleteRead(body, (length or len(body)) - len(body))
+    return frame_response(parser, body, method=method)
+
+
+def frame_response(parser, body, *, method):
+    """Return the :class:`FramedResponse` of a parsed head and its whole body.
+
+    :param parser: the :class:`StrictResponse` that has parsed the head
+    :param body: the body
+    :param method: method of the request
+    """
     headers = remove_hop_by_hop(parser.header_pairs)
     if method == "HEAD" or parser.status == 304:
         lengths = parser.header_values("content-length")
--- a/src/monsoonline/adapters/upstream_sessions.py
+++ b/src/monsoonline/adapters/upstream_sessions.py
@@ -6,19 +6,15 @@
 
 import collections
 import http.client
-import io
 import itertools
 import random
 import select
 import socket
 import threading
 
-from monsoonline.adapters.http_response import (
-    MAX_RESPONSE_BYTES,
-    ResponseStream,
-    read_framed_response,
-)
+from monsoonline.adapters.http_response import MAX_RESPONSE_BYTES
 from monsoonline.adapters.receive_budget import ReceiveBudget
+from monsoonline.adapters.response_assembly import ResponseAssembler
 
 __all__ = ["Probe", "SessionFailed", "SessionPool", "UpstreamSession"]
 
@@ -33,8 +29,9 @@
 MAX_STRAY_RESPONSES = 8
 MAX_IDLE_SESSIONS = 4
 FIRST_PROBE_NUMBER_BITS = 63
-# Time after the deadline in which bytes that have arrived are still read.
-READ_OVERTIME_MS = 50.0
+RECEIVE_BYTES = 64 << 10
+# Bytes to receive before other connections are served again.
+MAX_RECEIVED_AT_ONCE_BYTES = 1 << 20
 MAX_PROBE_RESPONSE_BYTES = 64 << 10
 # Longest wait for the rest of a response that has begun to arrive before a probe.
 DRAIN_TIMEOUT_MS = 5.0
@@ -95,51 +92,12 @@
         ).encode("latin-1")
 
 
-class SessionReader(io.RawIOBase):
-    """Reads from a non-blocking socket until :attr:`deadline`.
-
-    A peer that sends without end is read only shortly beyond it.
-
-    :param connection: the socket
-    :param clock: source of time
-    :param received: :class:`monsoonline.adapters.receive_budget.ReceivedBytes` of the
-        session
-    """
-
-    def __init__(self, *, connection, clock, received):
-        self._connection = connection
-        self._received = received
-        self._clock = clock
-        self._poller = select.poll()
-        self._poller.register(connection, READ_EVENTS)
-        self.deadline = 0.0
-        # Whether to read nothing from the socket, so that only buffered bytes are seen.
-        self.buffer_only = False
-
-    def readable(self):
-        """Return true, as ``io`` requires."""
-        return True
-
-    def readinto(self, buffer):
-        """Wait for bytes and read them; called by :class:`io.BufferedReader`."""
-        if self.buffer_only:
-            return None
-        while True:
-            wait_ms = self.deadline - self._clock.now()
-            if wait_ms <= -READ_OVERTIME_MS:
-                raise TimeoutError("no complete response within the time limit")
-            try:
-                size = self._connection.recv_into(buffer)
-                self._received.add(size)
-                return size
-            except BlockingIOError:
-                if wait_ms <= 0 or not self._poller.poll(max(1.0, wait_ms)):
-                    raise TimeoutError("no response within the time limit") from None
-
-
 class UpstreamSession:
     """One connection to an upstream, used by one task at a time.
 
+    Reading never waits: a response is returned once it is complete, so that an upstream
+    that sends slowly, or without end, does not hold the task.
+
     :param address: ``host:port`` with an IP address
     :param clock: source of time
     :param names: :class:`monsoonline.core.header_names.HeaderNames`
@@ -155,8 +113,10 @@
         self._clock = clock
         self._names = names
         self._socket = None
-        self._reader = None
-        self._stream = None
+        self._assembler = None
+        # Time of the first byte of an incomplete response, None without one.
+        self._receiving_since = None
+        self._stray_responses = 0
         # Ids of the probes whose responses were not read, the oldest first. Responses
         # need not repeat the id; they arrive in the order of the probes.
         self._unread_probe_ids = collections.deque()
@@ -183,12 +143,17 @@
     @property
     def connected(self):
         """Whether requests can be sent."""
-        return self._stream is not None
+        return self._assembler is not None
+
+    @property
+    def receiving_since(self):
+        """Time in ms at which an incomplete response began, ``None`` without one."""
+        return self._receiving_since
 
     @property
     def connecting(self):
         """Whether connecting has started but is not complete."""
-        return self._socket is not None and self._stream is None
+        return self._socket is not None and self._assembler is None
 
     def fileno(self):
         """Return the file descriptor for ``poll``."""
@@ -214,10 +179,7 @@
         error = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
             raise SessionFailed(f"{self._address}: connect error {error}", sent=False)
-        self._reader = SessionReader(
-            connection=self._socket, clock=self._clock, received=self._received
-        )
-        self._stream = ResponseStream(self._reader)
+        self._assembler = ResponseAssembler(received=self._received)
 
     def send_probe(self, probe, instance):
         """Send a load probe.
@@ -228,26 +190,28 @@
             no probe, such as a response written twice
         """
         self._drain()
+        self._stray_responses = 0
         request_id = f"{next(self._probe_numbers):016x}"
         self._unread_probe_ids.append(request_id)
         self._send(probe.encode(self._address, request_id, instance), self._clock.now())
 
-    def read_probe(self, *, deadline):
-        """Return the response to the last probe.
+    def read_probe(self):
+        """Return the response to the last probe once it is complete.
 
         The session is not reusable after a response that belongs to no probe.
 
-        :param deadline: clock time in ms
-        :raises SessionFailed: when none was received by the deadline
+        :returns: the response, ``None`` while it is incomplete
+        :raises SessionFailed: when the response is cut off or invalid
         """
-        for _ in range(MAX_STRAY_RESPONSES):
-            response = self._read_probe_response(deadline)
+        self._receive()
+        while (response := self._take_probe_response()) is not None:
             self._match_probe(response)
             if not self._unread_probe_ids:
                 if self._has_unread_bytes():
                     self._close_after_use = True
                 return response
-        raise SessionFailed(f"{self._address}: no response to a probe", sent=True)
+            self._count_stray_response()
+        return None
 
     def send_request(self, request, *, headers, deadline):
         """Send a caller's request.
@@ -257,6 +221,7 @@
         :param deadline: clock time in ms
         :raises SessionFailed: when the connection is lost
         """
+        self._stray_responses = 0
         lines = [f"{request.method} {request.target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in headers]
         if request.body or request.method in BODY_METHODS:
@@ -264,27 +229,25 @@
         lines.append("\r\n")
         self._send("\r\n".join(lines).encode("latin-1") + request.body, deadline)
 
-    def read_request(self, request, request_id, *, deadline):
-        """Return the complete response to a request once the socket is readable.
+    def read_request(self, request, request_id):
+        """Return the response to a request once it is complete.
 
         :param request: the request that was sent
         :param request_id: id of the request, which identifies its response
-        :param deadline: clock time in ms by which a response must be complete
-        :returns: the response, ``None`` if only responses to other requests arrived
-        :raises SessionFailed: when the response is incomplete or invalid
+        :returns: the response, ``None`` while it is incomplete
+        :raises SessionFailed: when the response is cut off or invalid
         """
-        for _ in range(MAX_STRAY_RESPONSES):
-            response = self._read_one(request.method, deadline)
-            received_id = response.header(self._names.request_id)
-            if received_id == request_id:
+        self._receive()
+        while (response := self._take(request.method)) is not None:
+            if response.header(self._names.request_id) == request_id:
                 return response
             self._close_after_use = True
-            if not self._has_buffered_bytes():
-                return None
-        raise SessionFailed(f"{self._address}: too many stray responses", sent=True)
+            self._count_stray_response()
+        return None
 
     def close(self):
         """Close the connection; the upstream drops any work in progress for it."""
+        self._received.reset()
         if self._socket is not None:
             self._socket.close()
             self._socket = None
@@ -310,33 +273,61 @@
         except OSError as error:
             raise self._failed(error) from error
 
-    def _read_probe_response(self, deadline):
-        return self._read_one("GET", deadline, max_bytes=MAX_PROBE_RESPONSE_BYTES)
+    def _receive(self):
+        """Receive the bytes that have arrived, without waiting.
 
-    def _read_one(self, method, deadline, *, max_bytes=MAX_RESPONSE_BYTES):
+        :raises SessionFailed: when the connection is lost
+        """
         if self._socket is None:
             raise SessionFailed(f"{self._address}: the session is closed", sent=True)
-        self._reader.deadline = deadline
+        received = 0
         try:
-            framed = read_framed_response(
-                self._stream,
-                method=method,
-                allow_close_delimited=True,
-                max_bytes=max_bytes,
-            )
-        except (OSError, http.client.HTTPException, ValueError) as error:
+            while received < MAX_RECEIVED_AT_ONCE_BYTES:
+                content = self._socket.recv(RECEIVE_BYTES)
+                if not content:
+                    self._assembler.feed_end()
+                    return
+                self._assembler.feed(content)
+                if self._receiving_since is None:
+                    self._receiving_since = self._clock.now()
+                received += len(content)
+                if len(content) < RECEIVE_BYTES:
+                    return
+        except BlockingIOError:
+            return
+        except (OSError, http.client.HTTPException) as error:
             raise self._failed(error) from error
-        finally:
-            self._received.reset()
+
+    def _take_probe_response(self):
+        return self._take("GET", max_bytes=MAX_PROBE_RESPONSE_BYTES)
+
+    def _take(self, method, *, max_bytes=MAX_RESPONSE_BYTES):
+        """Return the next response that has arrived, ``None`` while it is incomplete.
+
+        :raises SessionFailed: when it is cut off or invalid
+        """
+        try:
+            framed = self._assembler.take(method=method, max_bytes=max_bytes)
+        except (http.client.HTTPException, ValueError) as error:
+            raise self._failed(error) from error
+        if framed is None:
+            return None
+        now = self._clock.now()
+        self._receiving_since = None if self._assembler.empty else now
         if not framed.keep_alive:
             self._close_after_use = True
         if framed.keep_alive_timeout_ms is not None:
             self._idle_limit_ms = max(
                 0.0, framed.keep_alive_timeout_ms - IDLE_MARGIN_MS
             )
-        self.last_used_at = self._clock.now()
+        self.last_used_at = now
         return framed.response
 
+    def _count_stray_response(self):
+        self._stray_responses += 1
+        if self._stray_responses >= MAX_STRAY_RESPONSES:
+            raise SessionFailed(f"{self._address}: too many stray responses", sent=True)
+
     def _match_probe(self, response):
         """Remove the probe of a response, and those before it, from the unread ones.
 
@@ -353,23 +344,33 @@
             self._close_after_use = True
 
     def _drain(self):
-        """Read the responses to earlier probes that have arrived.
+        """Read the responses to earlier probes that have arrived, or begun to arrive.
 
         :raises SessionFailed: when other bytes have arrived
         """
-        for _ in range(MAX_STRAY_RESPONSES):
-            if not self._unread_probe_ids or not self._has_unread_bytes():
+        self._stray_responses = 0
+        deadline = self._clock.now() + DRAIN_TIMEOUT_MS
+        while self._unread_probe_ids and self._has_unread_bytes():
+            self._receive()
+            response = self._take_probe_response()
+            if response is not None:
+                self._match_probe(response)
+                self._count_stray_response()
+            elif not self._wait_readable(deadline - self._clock.now()):
                 break
-            deadline = self._clock.now() + DRAIN_TIMEOUT_MS
-            self._match_probe(self._read_probe_response(deadline))
         if self._close_after_use or self._has_unread_bytes():
             raise SessionFailed(
                 f"{self._address}: the connection holds unexpected bytes", sent=False
             )
 
+    def _wait_readable(self, timeout_ms):
+        poller = select.poll()
+        poller.register(self._socket, READ_EVENTS)
+        return timeout_ms > 0 and bool(poller.poll(timeout_ms))
+
     def _has_unread_bytes(self):
         """Return whether bytes, or the end of the connection, can be read now."""
-        if self._has_buffered_bytes():
+        if not self._assembler.empty:
             return True
         try:
             self._socket.recv(1, socket.MSG_PEEK)
@@ -379,15 +380,9 @@
             return True
         return True
 
-    def _has_buffered_bytes(self):
-        self._reader.buffer_only = True
-        try:
-            return bool(self._stream.peek(1))
-        finally:
-            self._reader.buffer_only = False
-
     def _failed(self, error):
         self._close_after_use = True
+        self._received.reset()
         return SessionFailed(
             f"{self._address}: {error!r}",
             sent=True,
--- a/src/monsoonline/bench/virtual_sessions.py
+++ b/src/monsoonline/bench/virtual_sessions.py
@@ -81,6 +81,8 @@
     """
 
     expired = False
+    # Responses arrive whole.
+    receiving_since = None
 
     def __init__(self, *, address, network):
         self._address = address
@@ -143,12 +145,11 @@
         self._inbox.clear()
         self._network.carry(self._upstream, self._arrive_probe, self._probes)
 
-    def read_probe(self, *, deadline):
+    def read_probe(self):
         """Return the answer to the last question.
 
         :raises SessionFailed: when the connection was lost
         """
-        del deadline
         kind, load = self._inbox.pop(0)
         if kind is not None:
             raise SessionFailed(f"{self._address}: {kind.value}", sent=True)
@@ -166,12 +167,12 @@
         )
         self._network.carry(self._upstream, self._upstream.submit, self._job)
 
-    def read_request(self, request, request_id, *, deadline):
+    def read_request(self, request, request_id):
         """Return the answer to a request.
 
         :raises SessionFailed: when the connection was lost
         """
-        del request, request_id, deadline
+        del request, request_id
         kind, load = self._inbox.pop(0)
         self._job = None
         if kind is AttemptKind.SUCCEEDED:
--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -40,6 +40,8 @@
 # A response that has begun to arrive is read for at least this time, also past the
 # deadline of its request.
 MIN_READ_MS = 50.0
+# Time for a response that has begun to arrive to be complete before a hedge.
+ARRIVAL_MS = 100.0
 # Status that callers get, and the decision log records, after an unexpected error.
 UNEXPECTED_STATUS = 502
 ATTEMPT_KINDS = {
@@ -366,7 +368,8 @@
             other events
         """
         now = self._clock.now()
-        wake_at = task.deadline
+        deadline = self._read_deadline(task)
+        wake_at = deadline
         if task.hedge_timer is not None:
             wake_at = min(wake_at, task.hedge_timer.check_at)
         poller = self._poller()
@@ -386,21 +389,25 @@
                 return Event.READABLE, by_descriptor[descriptor]
         if ready:
             return Event.CALLER_GONE, None
-        if self._clock.now() >= task.deadline:
+        if self._clock.now() >= deadline:
             return Event.DEADLINE, None
         return Event.HEDGE, None
 
+    @staticmethod
+    def _read_deadline(task):
+        """Return the time until which to wait for responses."""
+        began = (a.session.receiving_since for a in task.open_attempts)
+        extended = [since + MIN_READ_MS for since in began if since is not None]
+        return max(task.deadline, *extended) if extended else task.deadline
+
     def _read(self, task, attempt):
         """Read the response to an attempt.
 
         :returns: the response for the caller, ``None`` to keep waiting
         :raises Refusal: when the request has failed
         """
-        deadline = max(task.deadline, self._clock.now() + MIN_READ_MS)
         try:
-            response = attempt.session.read_request(
-                task.request, task.request_id, deadline=deadline
-            )
+            response = attempt.session.read_request(task.request, task.request_id)
         except SessionFailed as error:
             return self._handle_lost_attempt(task, attempt, error)
         if response is None:
@@ -477,7 +484,14 @@
         pace = task.pool.view.slowdown_of(task.open_attempts[0].probe_result.state, now)
         overloaded = task.pool.overload_detector.overloaded
         timer = task.hedge_timer
-        wanted = timer.should_hedge(now, slowdown=pace, overloaded=overloaded)
+        arriving = any(
+            now < attempt.session.receiving_since + ARRIVAL_MS
+            for attempt in task.open_attempts
+            if attempt.session.receiving_since is not None
+        )
+        wanted = not arriving and timer.should_hedge(
+            now, slowdown=pace, overloaded=overloaded
+        )
         if not (wanted and self._send_hedge(task, now)):
             timer.schedule_check(now, overloaded=overloaded)
 
--- a/src/monsoonline/entry/prober.py
+++ b/src/monsoonline/entry/prober.py
@@ -227,7 +227,10 @@
         """
         try:
             if pending.session.connected:
-                response = pending.session.read_probe(deadline=probe_round.deadline)
+                response = pending.session.read_probe()
+                if response is None:
+                    probe_round.add(pending, select.POLLIN)
+                    return None
                 self._read_notices(pending.state, response)
                 if not is_wanted(view, pending.state):
                     self._sessions.check_in(pending.session)
--- a/tests/adapters/test_upstream_sessions.py
+++ b/tests/adapters/test_upstream_sessions.py
@@ -55,15 +55,27 @@
         session.send_request(REQUEST, headers=headers, deadline=deadline)
         return deadline
 
+    def read_until(self, session, deadline, read):
+        """Call ``read`` whenever bytes arrive until it returns a response.
+
+        Closes the session at the deadline, as the tasks of requests do.
+        """
+        poller = select.poll()
+        poller.register(session.fileno(), select.POLLIN)
+        while (wait_ms := deadline - self.clock.now()) > 0:
+            if poller.poll(wait_ms) and (response := read()) is not None:
+                return response
+        session.close()
+        raise SessionFailed("deadline", sent=True, timed_out=True)
+
+    def read_response(self, session, deadline, request_id="own"):
+        return self.read_until(
+            session, deadline, lambda: session.read_request(REQUEST, request_id)
+        )
+
     def exchange(self, session, request_id="own"):
         deadline = self.send(session, request_id)
-        result = None
-        while result is None:
-            poller = select.poll()
-            poller.register(session.fileno(), select.POLLIN)
-            self.assertTrue(poller.poll(WAIT_MS))
-            result = session.read_request(REQUEST, request_id, deadline=deadline)
-        return result
+        return self.read_response(session, deadline, request_id)
 
 
 class TestUpstreamSession(SessionTest):
@@ -123,7 +135,7 @@
         deadline = self.clock.now() + 50.0
         session.send_request(REQUEST, headers=(), deadline=deadline)
         with self.assertRaises(SessionFailed) as caught:
-            session.read_request(REQUEST, "own", deadline=deadline)
+            self.read_response(session, deadline)
         self.assertTrue(caught.exception.timed_out)
 
     def test_session_expires_before_the_stated_keep_alive_timeout(self):
@@ -168,9 +180,9 @@
         while not self.upstream.requests:
             self.clock.sleep(1.0)
         session.send_probe(probe, "i1")
-        self.assertEqual(
-            session.read_probe(deadline=self.clock.now() + WAIT_MS).body, b"new"
-        )
+        deadline = self.clock.now() + WAIT_MS
+        own = self.read_until(session, deadline, session.read_probe)
+        self.assertEqual(own.body, b"new")
 
 
 def probe_response(load, *, request_id=None):
@@ -188,7 +200,8 @@
         session.send_probe(Probe(path="/health", names=NAMES), "i1")
 
     def read(self, session):
-        return session.read_probe(deadline=self.clock.now() + WAIT_MS)
+        deadline = self.clock.now() + WAIT_MS
+        return self.read_until(session, deadline, session.read_probe)
 
     def wait_readable(self, session):
         poller = select.poll()
@@ -267,14 +280,13 @@
     """Bytes without end end with the time or the size limit of a response."""
 
     def read_for(self, session, read):
-        """Call ``read`` with a deadline until it fails; return the peak of memory."""
+        """Read with a deadline until it fails; return the peak of memory."""
         deadline = self.clock.now() + ENDLESS_WAIT_MS
         tracemalloc.start()
         tracemalloc.reset_peak()
         self.addCleanup(tracemalloc.stop)
         with self.assertRaises(SessionFailed):
-            while self.clock.now() < deadline + ENDLESS_MARGIN_MS:
-                read(deadline)
+            self.read_until(session, deadline, read)
         self.assertLess(self.clock.now(), deadline + ENDLESS_MARGIN_MS)
         peak = tracemalloc.get_traced_memory()[1]
         tracemalloc.stop()
@@ -288,15 +300,9 @@
             with self.subTest(name):
                 session = self.session_to(lambda *_, reply=reply: reply)
                 self.send(session)
-
-                def read(deadline, session=session):
-                    session.read_request(REQUEST, "own", deadline=deadline)
-                    if self.clock.now() >= deadline:
-                        # The request's task ends at its deadline.
-                        session._close_after_use = True
-                        raise SessionFailed("deadline", sent=True)
-
-                peak = self.read_for(session, read)
+                peak = self.read_for(
+                    session, lambda s=session: s.read_request(REQUEST, "own")
+                )
                 # The body, and a copy while its parts are joined.
                 self.assertLess(peak, 2 * MAX_ENDLESS_BYTES)
 
@@ -313,10 +319,9 @@
         task = threading.Thread(
             target=lambda: self.assertRaises(
                 SessionFailed,
-                session.read_request,
-                REQUEST,
-                "own",
-                deadline=deadline,
+                self.read_response,
+                session,
+                deadline,
             )
         )
         task.start()
@@ -334,9 +339,7 @@
             with self.subTest(name):
                 session = self.session_to(lambda *_, reply=reply: reply)
                 session.send_probe(probe, "i1")
-                peak = self.read_for(
-                    session, lambda d, session=session: session.read_probe(deadline=d)
-                )
+                peak = self.read_for(session, session.read_probe)
                 self.assertLess(peak, 1 << 20)
 
     def test_bytes_without_end_before_a_probe_are_read_on(self):
--- a/tests/bench/test_virtual_sessions.py
+++ b/tests/bench/test_virtual_sessions.py
@@ -55,7 +55,7 @@
         session.send_request(request, headers=(), deadline=1e9)
 
     def read(self, session):
-        return session.read_request(None, None, deadline=0.0)
+        return session.read_request(None, None)
 
     def test_load_is_read_as_it_was_written(self):
         report = LoadReport(in_flight=3, slots=4, queued=2, pace=1.5)
@@ -89,7 +89,7 @@
         session.send_probe(PROBE, "i1")
         session.send_probe(PROBE, "i1")
         self.timeline.run(self.timeline.now() + 100.0)
-        self.assertEqual(session.read_probe(deadline=0.0).status, 200)
+        self.assertEqual(session.read_probe().status, 200)
         self.assertFalse(session.ready(select.POLLIN))
 
     def test_refused_request_is_marked_as_not_run(self):
--- a/tests/entry/test_placed_relay.py
+++ b/tests/entry/test_placed_relay.py
@@ -1,6 +1,7 @@
 """Tests of the probing request path against upstreams on loopback."""
 
 import socket
+import threading
 import time
 import unittest
 from unittest import mock
@@ -689,6 +690,38 @@
                 self.assertEqual(refusal.outcome, Outcome.UNKNOWN)
                 self.assertIn(refusal.status, (502, 504))
 
+    def test_response_without_end_hides_the_response_to_a_hedge(self):
+        """Guards against a task that reads one response and serves no other one."""
+        for name, reply in ENDLESS_REPLIES.items():
+            with self.subTest(name):
+                executed = []
+
+                def endless_first(number, request, reply=reply, executed=executed):
+                    executed.append(request)
+                    return reply if len(executed) == 1 else {}
+
+                relay = self.relay_to(
+                    *(Target(f"i{n}", replies=endless_first) for n in (1, 2))
+                )
+                self.assertEqual(relay.handle(self.request()).status, 200)
+                self.assertEqual(len(executed), 2)
+
+    def test_hedge_without_end_hides_the_response_to_the_first_attempt(self):
+        """Guards against a faulty upstream that keeps a ready response back."""
+        for name, reply in ENDLESS_REPLIES.items():
+            with self.subTest(name):
+                executed = []
+
+                def endless_hedge(number, request, reply=reply, executed=executed):
+                    executed.append(request)
+                    late = {"delay_ms": LATENCY_OBJECTIVE_MS + 50.0}
+                    return late if len(executed) == 1 else reply
+
+                relay = self.relay_to(
+                    *(Target(f"i{n}", replies=endless_hedge) for n in (1, 2))
+                )
+                self.assertEqual(relay.handle(self.request()).status, 200)
+
 
 class TestPermits(RelayTest):
     """Requests to an upstream with a limit are sent only with a valid permit."""
@@ -727,6 +760,21 @@
         self.assertEqual(self.refused(relay, request).code, "caller-gone")
         self.assertLess(time.monotonic() - started, 0.5)
 
+    def test_caller_that_leaves_during_a_slow_response_is_not_noticed(self):
+        """Guards against upstreams that work on for a caller that has left."""
+        slow = ENDLESS_REPLIES["slow body"]
+        relay = self.relay_to(
+            Target("i1", replies=lambda n, r: slow),
+            routes=(route(deadline_ms=3_000.0),),
+        )
+        entry_end, caller_end = socket.socketpair()
+        self.addCleanup(entry_end.close)
+        threading.Timer(0.3, caller_end.close).start()
+        started = time.monotonic()
+        request = self.request(cancellation=Cancellation(caller=entry_end))
+        self.assertEqual(self.refused(relay, request).code, "caller-gone")
+        self.assertLess(time.monotonic() - started, 0.8)
+
     def test_booking_of_a_disconnected_caller_is_finished(self):
         target = Target("i1", replies=lambda n, r: {"delay_ms": 50.0})
         relay = self.relay_to(target)
--- a/tests/entry/test_probes.py
+++ b/tests/entry/test_probes.py
@@ -8,6 +8,7 @@
 from monsoonline.core.model import Upstream
 from monsoonline.entry.probes import Prober
 from monsoonline.metrics import Metrics
+from tests.adapters.endless_replies import ENDLESS_REPLIES
 from tests.adapters.scripted_upstream import OK, Reply, ScriptedUpstream
 
 NO_RESPONSE = Reply(content=b"", close=True)
@@ -64,3 +65,27 @@
             time.sleep(0.3)
         self.assertEqual(len(requests), 2)
         self.assertEqual(dispatcher.ended, [True, False])
+
+    def test_health_probe_waits_for_the_end_of_a_response_without_end(self):
+        """Guards against probe threads that a faulty upstream holds."""
+        clock = SystemClock()
+        transport = HttpUpstreamTransport(clock=clock)
+        self.addCleanup(transport.close)
+        for name, reply in ENDLESS_REPLIES.items():
+            with self.subTest(name):
+                server = ScriptedUpstream(script=lambda *_, reply=reply: reply)
+                self.addCleanup(server.close)
+                dispatcher = ScheduledProbes(server.address)
+                prober = Prober(
+                    clock=clock,
+                    dispatcher=dispatcher,
+                    transport=transport,
+                    metrics=Metrics(),
+                )
+                self.addCleanup(prober.close)
+                prober.send_due()
+                self.assertTrue(server.ended.wait(5.0))
+                end = time.monotonic() + 1.0
+                while not dispatcher.ended and time.monotonic() < end:
+                    time.sleep(0.01)
+                self.assertEqual(dispatcher.ended, [False])
