Repeat a read of the store that fails on a kept connection

Cause: the connections of the other entries to the store are idle, and the store closes them. The first read of a successor failed on its kept connection and counted as an outage of the store: this entry then left the reads to others for 4 s, and kept upstreams that were missing in the list.

Change: a read that fails on a kept connection, closed or silent, is repeated once on a new one. Writes and failures on a new connection are not repeated.

--- a/src/monsoonline/platform/store.py
+++ b/src/monsoonline/platform/store.py
@@ -69,14 +69,17 @@
         body = None if document is None else json.dumps(document).encode()
         headers = {} if body is None else {"Content-Type": "application/json"}
         with self._lock:
+            # A kept connection may have been closed, or gone silent, while idle. That
+            # says nothing about the store, so a read is repeated on a new connection.
+            repeatable = self._connection is not None and method == "GET"
             try:
-                framed = self._connect().exchange(
-                    method, target, body=body, headers=headers
-                )
-                if not framed.keep_alive:
-                    self._disconnect()
+                try:
+                    framed = self._exchange(method, target, body, headers)
+                except (OSError, http.client.HTTPException):
+                    if not repeatable:
+                        raise
+                    framed = self._exchange(method, target, body, headers)
             except (OSError, http.client.HTTPException) as error:
-                self._disconnect()
                 raise StoreUnavailable(f"{method} {path}: {error!r}") from error
         response = framed.response
         if response.status != HTTP_OK:
@@ -95,6 +98,19 @@
         with self._lock:
             self._disconnect()
 
+    def _exchange(self, method, target, body, headers):
+        """Make one call; the connection is closed after an error."""
+        try:
+            framed = self._connect().exchange(
+                method, target, body=body, headers=headers
+            )
+        except (OSError, http.client.HTTPException):
+            self._disconnect()
+            raise
+        if not framed.keep_alive:
+            self._disconnect()
+        return framed
+
     def _connect(self):
         if self._connection is None:
             connection = BoundedConnection(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import threading
+import time
 import unittest
 from unittest import mock
 
@@ -12,7 +13,7 @@
 from monsoonline.platform.store import PlatformStore, StoreConnection
 from monsoonline.standin.row_store import RowStoreStandIn
 from tests.adapters.endless_replies import ENDLESS_REPLIES
-from tests.adapters.scripted_upstream import ScriptedUpstream
+from tests.adapters.scripted_upstream import Reply, ScriptedUpstream
 from tests.core.test_fleet import member
 from tests.platform.test_documents import CONFIGURATION, TARGET
 
@@ -116,6 +117,53 @@
                 self.assertIsNotNone(self.store.read(0).tables)
 
 
+class TestKeptConnections(unittest.TestCase):
+    """The end of a kept connection is not taken for an outage of the store."""
+
+    RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+    def connect_to(self, script):
+        peer = ScriptedUpstream(script=script)
+        self.addCleanup(peer.close)
+        connection = StoreConnection(address=peer.address, timeout_ms=200.0)
+        self.addCleanup(connection.close)
+        return peer, connection
+
+    def test_idle_connection_that_was_closed_is_an_outage(self):
+        """Guards against reads that wait because of a connection that was closed."""
+        peer, connection = self.connect_to(
+            lambda number, count: Reply(content=self.RESPONSE, close=True)
+        )
+        for calls in (1, 2, 3):
+            self.assertEqual(connection.call("GET", "/"), {})
+            self.assertEqual(peer.connections, calls)
+            time.sleep(0.05)
+
+    def test_idle_connection_that_is_silent_is_an_outage(self):
+        """Guards against reads that wait because of a connection gone silent."""
+        peer, connection = self.connect_to(
+            lambda number, count: self.RESPONSE if count == 1 else None
+        )
+        for calls in (1, 2, 3):
+            self.assertEqual(connection.call("GET", "/"), {})
+            self.assertEqual(peer.connections, calls)
+
+    def test_failure_on_a_new_connection_is_not_repeated(self):
+        peer, connection = self.connect_to(lambda number, count: None)
+        with self.assertRaises(StoreUnavailable):
+            connection.call("GET", "/")
+        self.assertEqual(peer.connections, 1)
+
+    def test_write_is_not_repeated(self):
+        peer, connection = self.connect_to(
+            lambda number, count: self.RESPONSE if count == 1 else None
+        )
+        connection.call("GET", "/")
+        with self.assertRaises(StoreUnavailable):
+            connection.call("POST", "/", document={})
+        self.assertEqual(peer.connections, 1)
+
+
 class TestEndlessResponses(unittest.TestCase):
     """A call ends although the other side sends without end."""
 
