Try a route again whose estimate refuses all its requests

Cause: an entry refuses a request whose estimated duration exceeds 0.8 of the time left. The estimate is corrected by successes only, and without requests there are none.

--- a/src/monsoonline/core/placement.py
+++ b/src/monsoonline/core/placement.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 from monsoonline.core.fleet_messages import UpstreamLoad
+from monsoonline.core.trials import TrialSchedule
 
 __all__ = [
     "ProbeResult",
@@ -111,6 +112,12 @@
     def __init__(self, *, objective_ms):
         self._value = objective_ms * INITIAL_OBJECTIVE_SHARE
         self._measured = False
+        self._trials = TrialSchedule()
+
+    @property
+    def trials(self):
+        """Requests that are sent although the estimate refuses them."""
+        return self._trials
 
     @property
     def value(self):
--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -184,6 +184,7 @@
             on_loads=on_loads,
             permits=self._permits,
             decisions=decisions,
+            metrics=metrics,
         )
 
     def use_tables(self, tables):
--- a/src/monsoonline/entry/placer.py
+++ b/src/monsoonline/entry/placer.py
@@ -6,6 +6,7 @@
 import math
 
 from monsoonline.core.fleet_messages import UpstreamLoad
+from monsoonline.core.load_shedding import ADMITTED_TIME_SHARE
 from monsoonline.core.placement import (
     MAX_PROMISING_SLOWDOWN,
     ProbeResult,
@@ -43,6 +44,7 @@
         was chosen
     :param permits: :class:`monsoonline.entry.permits.UpstreamPermits`
     :param decisions: :class:`monsoonline.core.request_decisions.RequestDecisions`
+    :param metrics: counters
     """
 
     def __init__(
@@ -57,7 +59,9 @@
         on_loads,
         permits,
         decisions,
+        metrics,
     ):
+        self._metrics = metrics
         self._clock = clock
         self._prober = prober
         self._sessions = sessions
@@ -141,7 +145,7 @@
             upstream cannot respond in time
         """
         for item in self._probe(task, [state], None, slot_allowance):
-            admitted = self._admits(task, item, slot_allowance)
+            admitted = self._may_send(task, item, slot_allowance)
             if item.probe_result.report is not None:
                 load = UpstreamLoad(
                     instance=state.registration.instance,
@@ -261,8 +265,12 @@
         """
         if placed is None:
             raise self._no_upstream_refusal(task)
-        acceptable = is_acceptable(placed.probe_result, slot_allowance)
-        if self._admits(task, placed, slot_allowance) and (acceptable or not hedge):
+        if hedge:
+            acceptable = is_acceptable(placed.probe_result, slot_allowance)
+            allowed = acceptable and self._admits(task, placed, slot_allowance)
+        else:
+            allowed = self._may_send(task, placed, slot_allowance)
+        if allowed:
             return placed
         self._sessions.check_in(placed.session)
         best_ms = self._expected_ms(task, placed, slot_allowance)
@@ -272,6 +280,30 @@
             self._load_shedder.retry_after_ms(best_ms),
         )
 
+    def _may_send(self, task, placed, slot_allowance):
+        """Return whether a request is admitted, or sent as a trial of its estimate."""
+        return self._admits(task, placed, slot_allowance) or self._is_trial(
+            task, placed, slot_allowance
+        )
+
+    def _is_trial(self, task, placed, slot_allowance):
+        """Return whether a request corrects the estimate that refuses it.
+
+        Only a sound upstream with a free slot gets a trial, and only for an estimate
+        that also refuses requests with all their time left.
+        """
+        fresh_limit_ms = ADMITTED_TIME_SHARE * (task.deadline - task.started)
+        if (
+            placed.probe_result.state.registration.leaving
+            or task.pool.overload_detector.overloaded
+            or not is_acceptable(placed.probe_result, slot_allowance)
+            or self._expected_ms(task, placed, slot_allowance) <= fresh_limit_ms
+            or not self._pools.work_of(task.route).trials.take(self._clock.now())
+        ):
+            return False
+        self._metrics.count("trial_requests_total", route=task.route.name)
+        return True
+
     def _admits(self, task, placed, slot_allowance):
         """Return whether the request would be answered in time by an upstream."""
         now = self._clock.now()
--- a/tests/entry/test_placed_relay.py
+++ b/tests/entry/test_placed_relay.py
@@ -423,6 +423,38 @@
         self.assertLess(time.monotonic() - started, LATENCY_OBJECTIVE_MS / 1e3 / 2)
         self.assertEqual([t.executed for t in targets], [[], [], []])
 
+    def test_route_with_a_slow_first_response_is_refused_for_good(self):
+        """Guards against an estimate that refuses what would correct it."""
+        target = Target("i1")
+        relay = self.relay_to(target)
+        slow_ms = 0.95 * route().deadline_ms
+        work = relay._pools.work_of(route())
+        work.observe(slow_ms, slowdown=1.0)
+        with mock.patch.object(work.trials, "_interval_ms", 100.0):
+            self.assertEqual(relay.handle(self.request()).status, 200)
+            # Between the trials requests are refused at once, as they were.
+            refusal = self.refused(relay, self.request())
+            self.assertEqual((refusal.status, refusal.outcome), (503, Outcome.NOT_RUN))
+            ends_at = time.monotonic() + 3.0
+            served = 0
+            while served < 5 and time.monotonic() < ends_at:
+                try:
+                    served += relay.handle(self.request()).status == 200
+                except Refusal:
+                    served = 0
+                time.sleep(0.02)
+        self.assertEqual(served, 5)
+
+    def test_full_or_slow_upstream_gets_no_trial(self):
+        for load in ("3,0,3,1.0", "0,0,3,9.0"):
+            with self.subTest(load):
+                target = Target("i1", load=load)
+                relay = self.relay_to(target)
+                relay._pools.work_of(route()).observe(700.0, slowdown=1.0)
+                for _ in range(3):
+                    self.refused(relay, self.request())
+                self.assertEqual(target.executed, [])
+
     def test_unreachable_targets_are_not_run(self):
         stopped = Target("i1")
         relay = self.relay_to(stopped)
