Take no reset that a send has reported for the end of a response

Cause: the upstream answered early without a length and its connection was reset. The send in progress took the error from the socket, and it was dropped because reading the response fails as well. But reading returned what had arrived, and then an end that looked orderly, which is the end of a response without a length.

Change: after a failed send the end of the connection is an error. A response that is complete by its own length is still delivered.

--- a/src/monsoonline/adapters/upstream_sessions.py
+++ b/src/monsoonline/adapters/upstream_sessions.py
@@ -117,6 +117,10 @@
         # Time of the first byte of an incomplete response, None without one.
         self._receiving_since = None
         self._stray_responses = 0
+        # Whether sending failed, which takes the error of a reset from the socket.
+        self._send_failed = False
+        # Whether the connection ended after that, which is no end of a response.
+        self._lost = False
         # Ids of the probes whose responses were not read, the oldest first. Responses
         # need not repeat the id; they arrive in the order of the probes.
         self._unread_probe_ids = collections.deque()
@@ -243,6 +247,8 @@
                 return response
             self._close_after_use = True
             self._count_stray_response()
+        if self._lost:
+            raise self._failed(ConnectionError("lost while the request was sent"))
         return None
 
     def close(self):
@@ -271,6 +277,7 @@
                         "the request could not be sent before the deadline"
                     )
         except OSError as error:
+            self._send_failed = True
             raise self._failed(error) from error
 
     def _receive(self):
@@ -285,7 +292,10 @@
             while received < MAX_RECEIVED_AT_ONCE_BYTES:
                 content = self._socket.recv(RECEIVE_BYTES)
                 if not content:
-                    self._assembler.feed_end()
+                    if self._send_failed:
+                        self._lost = True
+                    else:
+                        self._assembler.feed_end()
                     return
                 self._assembler.feed(content)
                 if self._receiving_since is None:
--- a/tests/adapters/test_upstream_sessions.py
+++ b/tests/adapters/test_upstream_sessions.py
@@ -1,6 +1,8 @@
 """Tests of upstream sessions over sockets."""
 
 import select
+import socket
+import struct
 import threading
 import time
 import tracemalloc
@@ -185,6 +187,57 @@
         self.assertEqual(own.body, b"new")
 
 
+class TestResetDuringSend(unittest.TestCase):
+    """A reset that the send has reported is no orderly end of the connection."""
+
+    LARGE_BODY = b"x" * (16 << 20)
+
+    def answer_early(self, content):
+        """Answer before the request is read, and reset the connection."""
+        connection, _ = self.listener.accept()
+        with connection:
+            connection.recv(1024)
+            connection.sendall(content)
+            time.sleep(0.1)
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    def exchange(self, content):
+        """Send a large request to an upstream that answers early; return the result."""
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        upstream = threading.Thread(target=self.answer_early, args=(content,))
+        upstream.start()
+        clock = SystemClock()
+        host, port = self.listener.getsockname()
+        pool = SessionPool(clock=clock, names=NAMES)
+        session = pool.open_new(f"{host}:{port}")
+        self.addCleanup(session.close)
+        session.begin_connect()
+        poller = select.poll()
+        poller.register(session.fileno(), select.POLLOUT)
+        poller.poll(WAIT_MS)
+        session.end_connect()
+        request = Request(method="POST", host="shop", target="/a", body=self.LARGE_BODY)
+        deadline = clock.now() + WAIT_MS
+        with self.assertRaises(SessionFailed):
+            session.send_request(request, headers=(), deadline=deadline)
+        upstream.join()
+        result = None
+        while result is None and clock.now() < deadline:
+            result = session.read_request(request, "own")
+        return result
+
+    def test_reset_after_a_failed_send_is_the_end_of_a_response(self):
+        """Guards against a 200 with a part of a body that has no length."""
+        with self.assertRaises(SessionFailed):
+            self.exchange(response("own", body=b"a part", length=False).content)
+
+    def test_whole_response_before_a_failed_send_is_delivered(self):
+        whole = self.exchange(response("own", body=b"whole").content)
+        self.assertEqual(whole.body, b"whole")
+
+
 def probe_response(load, *, request_id=None):
     """Return a response to a probe, without an id unless one is given."""
     lines = ["HTTP/1.1 200 OK", f"{NAMES.load}: {load}", "Content-Length: 0"]
