Limit the bodies of all requests in progress together

Callers saw: five uploads of 20 MiB at once, each less than a third of max_body_bytes, took an entry over the 235 MB of its machine.

Cause: each body had a limit, their sum had none. A body also took up to three times its size: a temporary file, the request, and a copy joined with the head.

Change: bodies share 0.3 of the machine's memory. One that finds no room is refused at once as not run, with Retry-After; one that exceeds the limit by itself is received while there is no other. Bodies stay in memory and are not copied. After a refused body the connection takes input for up to a second, so that a reset doesn't destroy the refusal.

--- a/src/monsoonline/adapters/http_parser.py
+++ b/src/monsoonline/adapters/http_parser.py
@@ -8,11 +8,13 @@
     ParsingError,
     TransferEncodingNotImplemented,
 )
+from waitress.utilities import Error
 
 from monsoonline.adapters.http_headers import remove_hop_by_hop
+from monsoonline.adapters.receive_budget import ReceiveBudgetExceeded
 from monsoonline.types import Request
 
-__all__ = ["METHODS", "StrictRequestParser", "to_request"]
+__all__ = ["METHODS", "BodiesTooLarge", "StrictRequestParser", "to_request"]
 
 METHODS = frozenset(("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"))
 VERSIONS = frozenset(("1.0", "1.1"))
@@ -20,16 +22,57 @@
 HOST = re.compile(r"[A-Za-z0-9._\-]*(?::[0-9]*)?|\[[0-9A-Fa-f:.]+\](?::[0-9]*)?")
 
 
+class BodiesTooLarge(Error):
+    """The bodies of all requests in progress leave no memory for another one."""
+
+    code = 503
+    reason = "Service Unavailable"
+
+
 class StrictRequestParser(HTTPRequestParser):
     """Rejects requests that HTTP implementations could parse differently.
 
     waitress joins repeated headers and lets chunked coding override Content-Length.
     Request smuggling exploits that implementations differ in both.
+
+    :param adj: adjustments of waitress with a ``body_budget``, the
+        :class:`monsoonline.adapters.receive_budget.ReceiveBudget` of all bodies
     """
 
     header_pairs = ()
     host = ""
 
+    def __init__(self, adj):
+        super().__init__(adj)
+        self._body_bytes = adj.body_budget.open()
+        self._length_counted = False
+
+    def received(self, data):
+        """Parse received bytes and count those of the body; called by waitress."""
+        body_bytes = self.body_bytes_received
+        consumed = super().received(data)
+        if self.body_rcv is not None and self.error is None:
+            try:
+                self._count_body(self.body_bytes_received - body_bytes)
+            except ReceiveBudgetExceeded as error:
+                self.close()
+                self.error = BodiesTooLarge(str(error))
+                self.expect_continue = False
+                self.completed = True
+        return consumed
+
+    def close(self):
+        """Release the body; called by waitress after the response."""
+        self._body_bytes.reset()
+        super().close()
+
+    def _count_body(self, received):
+        if self.chunked:
+            self._body_bytes.add(received)
+        elif not self._length_counted:
+            self._length_counted = True
+            self._body_bytes.add_whole(self.content_length)
+
     def parse_header(self, header_plus):
         """Parse and check the request line and the headers.
 
@@ -124,6 +167,7 @@
         host=host_name(parsed.host),
         target=parsed.request_uri,
         headers=remove_hop_by_hop(parsed.header_pairs),
-        body=body_receiver.getfile().read() if body_receiver is not None else b"",
+        # The value of the file is not copied, unlike what is read from it.
+        body=body_receiver.getfile().getvalue() if body_receiver is not None else b"",
         cancellation=cancellation,
     )
--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -19,10 +19,19 @@
 import waitress.channel
 import waitress.server
 import waitress.task
-from waitress.utilities import InternalServerError, build_http_date
+from waitress.utilities import (
+    InternalServerError,
+    RequestEntityTooLarge,
+    build_http_date,
+)
 
 from monsoonline.adapters.cancellation import Cancellation
-from monsoonline.adapters.http_parser import StrictRequestParser, to_request
+from monsoonline.adapters.http_parser import (
+    BodiesTooLarge,
+    StrictRequestParser,
+    to_request,
+)
+from monsoonline.adapters.receive_budget import ReceiveBudget
 from monsoonline.core.model import CallerLimits
 from monsoonline.types import Answer, Outcome
 
@@ -40,6 +49,16 @@
 # has been written, to become idle. Only that connection's thread has to run for this.
 IDLE_WAIT_MS = 100
 IDLE_POLL_MS = 0.5
+# Sum of the bodies of all requests in progress, unless the server is given another.
+DEFAULT_BODY_BYTES = 256 << 20
+# Exceeds each body, since a file would count as memory and be copied.
+MAX_BUFFERED_BODY_BYTES = 1 << 40
+# Delay after which a request may be repeated that found no memory for its body.
+BODY_RETRY_AFTER_S = 1
+BODY_ERRORS = (BodiesTooLarge, RequestEntityTooLarge)
+# Time for which a refused body is still received: closing a connection with unread
+# bytes would reset it, and the caller would lose the response.
+LINGER_MS = 1_000.0
 NO_BODY_STATUSES = frozenset((204, 304))
 CONNECTION_LIMIT_RESPONSE = (
     b"HTTP/1.1 503 Service Unavailable\r\nMonsoonline-Outcome: not-run\r\n"
@@ -146,6 +165,10 @@
         failed = isinstance(self.request.error, InternalServerError)
         outcome = Outcome.UNKNOWN if failed else Outcome.NOT_RUN
         self.response_headers.append(("Monsoonline-Outcome", outcome.value))
+        if isinstance(self.request.error, BodiesTooLarge):
+            self.response_headers.append(("Retry-After", str(BODY_RETRY_AFTER_S)))
+        if isinstance(self.request.error, BODY_ERRORS):
+            self.channel.body_refused = True
         super().execute()
 
 
@@ -159,6 +182,8 @@
     # Whether this side has shut down reading. A request that arrived before is still
     # handled.
     read_shut_down = False
+    # Whether a request was refused for its body, which may still arrive.
+    body_refused = False
     # Time of the last write of a response, None while no response is being written.
     # The caller can act on the response before this thread continues.
     last_write_at = None
@@ -217,6 +242,8 @@
                     if self.total_outbufs_len:
                         # Left by an unexpected error that waitress has logged.
                         return
+            if self.body_refused and self.connected:
+                self._discard_input()
         except OSError:
             # The caller reset the connection, so no response can be sent.
             return
@@ -224,6 +251,9 @@
             # No code reads the result of the task, so the error would be lost.
             logger.exception("connection ended by an unexpected error")
         finally:
+            for request in (*self.requests, self.request):
+                if request is not None:
+                    request.close()
             self.handle_close()
 
     def write_soon(self, data):
@@ -282,6 +312,16 @@
                 raise BlockingIOError("the request did not arrive in time")
             self.handle_read()
 
+    def _discard_input(self):
+        """Receive for a short time what the caller sends after a refusal."""
+        self.socket.shutdown(socket.SHUT_WR)
+        deadline = time.monotonic() + LINGER_MS / 1e3
+        while (remaining_ms := (deadline - time.monotonic()) * 1e3) > 0:
+            if not self._wait(select.POLLIN, remaining_ms):
+                return
+            if not self.socket.recv(RECEIVE_BYTES):
+                return
+
     def _wait(self, events, timeout_ms):
         poller = select.poll()
         poller.register(self.socket, events)
@@ -446,9 +486,10 @@
     :param host: IP address to listen on
     :param port: port to listen on, 0 for any free port
     :param workers: maximum number of connections, each with one thread
+    :param body_bytes: limit of the sum of the bodies of all requests in progress
     """
 
-    def __init__(self, *, handler, host, port, workers):
+    def __init__(self, *, handler, host, port, workers, body_bytes=DEFAULT_BODY_BYTES):
         adjustments = waitress.server.Adjustments(
             host=host,
             port=port,
@@ -462,7 +503,9 @@
             channel_request_lookahead=1,
             # Connection resets and idle timeouts are not errors of this process.
             log_socket_errors=False,
+            inbuf_overflow=MAX_BUFFERED_BODY_BYTES,
         )
+        adjustments.body_budget = ReceiveBudget(max_bytes=body_bytes)
         self._server = ConnectionServer(handler, limit=workers, adj=adjustments)
         self._thread = None
 
--- a/src/monsoonline/adapters/receive_budget.py
+++ b/src/monsoonline/adapters/receive_budget.py
@@ -1,7 +1,7 @@
-"""Memory limit of the responses that a process is receiving.
+"""Memory limits of the messages that a process holds.
 
-Each response has a size limit, but many of them at once would exceed the memory of a
-small VM.
+Each response and each request has a size limit, but many of them at once would exceed
+the memory of a small VM.
 """
 
 import http.client
@@ -15,11 +15,11 @@
 
 
 class ReceiveBudgetExceeded(http.client.HTTPException):
-    """The responses that are being received need too much memory."""
+    """The messages of one kind together need too much memory."""
 
 
 class ReceiveBudget:
-    """Counts the bytes of all incomplete responses.
+    """Counts the bytes of all messages of one kind that are held.
 
     :param max_bytes: limit of their sum
     """
@@ -41,18 +41,31 @@
         with self._lock:
             if self._taken + size > self._max_bytes:
                 raise ReceiveBudgetExceeded(
-                    f"responses in progress exceed {self._max_bytes} bytes"
+                    f"messages in progress exceed {self._max_bytes} bytes"
+                )
+            self._taken += size
+
+    def take_whole(self, size):
+        """Count a message of known size, of any size if no other one is counted.
+
+        :raises ReceiveBudgetExceeded: when the limit is exceeded
+        """
+        with self._lock:
+            if self._taken and self._taken + size > self._max_bytes:
+                raise ReceiveBudgetExceeded(
+                    f"{size} bytes more than the {self._taken} bytes in progress would "
+                    f"exceed {self._max_bytes} bytes"
                 )
             self._taken += size
 
     def give_back(self, size):
-        """Stop counting bytes of a response that is complete or was given up."""
+        """Stop counting bytes of a message that is complete or was given up."""
         with self._lock:
             self._taken -= size
 
 
 class ReceivedBytes:
-    """The bytes of the response that one connection is receiving.
+    """The bytes of the message that one connection is receiving.
 
     :param budget: the :class:`ReceiveBudget`
     """
@@ -67,15 +80,24 @@
     def add(self, size):
         """Count bytes that were received.
 
-        :raises ReceiveBudgetExceeded: when all responses together exceed the limit
+        :raises ReceiveBudgetExceeded: when all messages together exceed the limit
         """
         self._size += size
         if self._size > UNCOUNTED_BYTES:
             self._budget.take(size)
             self._taken += size
 
+    def add_whole(self, size):
+        """Count all bytes of a message before they are received.
+
+        :raises ReceiveBudgetExceeded: when all messages together exceed the limit
+        """
+        if size > UNCOUNTED_BYTES:
+            self._budget.take_whole(size)
+            self._taken += size
+
     def reset(self):
-        """End the response."""
+        """End the message."""
         if self._taken:
             self._budget.give_back(self._taken)
         self._size = self._taken = 0
--- a/src/monsoonline/adapters/upstream_sessions.py
+++ b/src/monsoonline/adapters/upstream_sessions.py
@@ -35,6 +35,8 @@
 MAX_PROBE_RESPONSE_BYTES = 64 << 10
 # Longest wait for the rest of a response that has begun to arrive before a probe.
 DRAIN_TIMEOUT_MS = 5.0
+# A larger body is sent by itself, which saves a copy.
+MAX_JOINED_BODY_BYTES = 64 << 10
 BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
 READ_EVENTS = select.POLLIN | select.POLLRDHUP
 
@@ -231,7 +233,12 @@
         if request.body or request.method in BODY_METHODS:
             lines.append(f"Content-Length: {len(request.body)}")
         lines.append("\r\n")
-        self._send("\r\n".join(lines).encode("latin-1") + request.body, deadline)
+        head = "\r\n".join(lines).encode("latin-1")
+        if len(request.body) <= MAX_JOINED_BODY_BYTES:
+            self._send(head + request.body, deadline)
+        else:
+            self._send(head, deadline)
+            self._send(request.body, deadline)
 
     def read_request(self, request, request_id):
         """Return the response to a request once it is complete.
--- a/src/monsoonline/entry/fleet_service.py
+++ b/src/monsoonline/entry/fleet_service.py
@@ -116,7 +116,10 @@
         self._crashes = CrashTracker(clock=self._clock, owner=settings.name)
         self._sessions = SessionPool(clock=self._clock, names=dialect.names)
         self._callers = self._make_server(
-            self._handle_caller, listeners.callers, settings.connections
+            self._handle_caller,
+            listeners.callers,
+            settings.connections,
+            body_bytes=settings.body_bytes,
         )
         self._relay = PlacedRelay(
             clock=self._clock,
@@ -267,9 +270,11 @@
         chosen = local if len(local) >= MIN_LOCAL_ENTRIES else members
         return [m.callers_address for m in chosen if not m.leaving][:MAX_LISTED_ENTRIES]
 
-    def _make_server(self, handler, address, workers):
+    def _make_server(self, handler, address, workers, **options):
         host, _, port = address.rpartition(":")
-        return HttpServer(handler=handler, host=host, port=int(port), workers=workers)
+        return HttpServer(
+            handler=handler, host=host, port=int(port), workers=workers, **options
+        )
 
     def _make_auxiliary_servers(self):
         """Return the servers for readiness, discovery and peer requests."""
--- a/src/monsoonline/fleet_settings.py
+++ b/src/monsoonline/fleet_settings.py
@@ -22,6 +22,8 @@
 # Approximate memory of the thread that serves a connection.
 MEMORY_PER_CONNECTION_MB = 0.1
 CONNECTION_MEMORY_SHARE = 0.4
+# Share of the memory for the bodies of all requests in progress.
+BODY_MEMORY_SHARE = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,6 +55,7 @@
     :param discovery_lifetime_ms: time for which callers may cache a discovery response
     :param stop_limit_ms: time after which a stopping process is killed
     :param connections: maximum number of concurrent connections of callers
+    :param body_bytes: limit of the sum of the bodies of all requests in progress
     :param log_level: lowest level of log lines that are written
     """
 
@@ -65,6 +68,7 @@
     discovery_lifetime_ms: float
     stop_limit_ms: float
     connections: int
+    body_bytes: int
     log_level: str
 
 
@@ -97,6 +101,7 @@
     repeats = fields.child("repeats")
     machine = fields.child("machine")
     lifetime_ms = fields.duration_ms("discovery_lifetime", default=None)
+    memory_mb = machine.number("memory_mb", minimum=1)
     settings = FleetEntrySettings(
         name=fields.string("name"),
         failure_domain=fields.string("failure_domain"),
@@ -119,9 +124,10 @@
         ),
         stop_limit_ms=fields.duration_ms("stop_limit"),
         connections=connection_limit(
-            memory_mb=machine.number("memory_mb", minimum=1),
+            memory_mb=memory_mb,
             descriptors=machine.integer("descriptors", minimum=1),
         ),
+        body_bytes=int(BODY_MEMORY_SHARE * memory_mb * 1e6),
         log_level=fields.choice("log_level", LOG_LEVELS, default="INFO"),
     )
     fields.finish()
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -345,6 +345,91 @@
         self.assertIn(b"200 OK", self.send(content))
 
 
+class TestBodyBudget(ServerCase):
+    """The bodies of all requests together stay within a limit."""
+
+    BODY = b"x" * 600_000
+    HEAD = b"POST / HTTP/1.1\r\nHost: a\r\n"
+
+    def setUp(self):
+        super().setUp()
+        self.entered, self.leave = threading.Semaphore(0), threading.Event()
+        self.addCleanup(self.leave.set)
+        self.server = HttpServer(
+            handler=self.hold,
+            host="127.0.0.1",
+            port=0,
+            workers=self.workers,
+            body_bytes=1 << 20,
+        )
+        self.server.start()
+        self.addCleanup(self.server.close)
+
+    def hold(self, request):
+        self.entered.release()
+        self.leave.wait(TIMEOUT_SECONDS)
+        return Answer(status=200, body=str(len(request.body)).encode())
+
+    def upload(self, *, chunked=False):
+        """Send a request with a body and return its connection."""
+        connection = self.connect()
+        if chunked:
+            framing = b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % len(self.BODY)
+            content = framing + self.BODY + b"\r\n0\r\n\r\n"
+        else:
+            content = b"Content-Length: %d\r\n\r\n" % len(self.BODY) + self.BODY
+        connection.sendall(self.HEAD + content)
+        return connection
+
+    def assert_refused(self, connection):
+        received = self.read_all(connection)
+        self.assertTrue(received.startswith(b"HTTP/1.1 503 "), received[:80])
+        self.assertIn(b"Monsoonline-Outcome: not-run", received)
+        self.assertIn(b"Retry-After: 1", received)
+
+    def test_bodies_together_exceed_the_memory(self):
+        """Guards against uploads within their limit that end a process together."""
+        for chunked in (False, True):
+            with self.subTest(chunked=chunked):
+                self.leave.clear()
+                first = self.upload()
+                self.assertTrue(self.entered.acquire(timeout=TIMEOUT_SECONDS))
+                self.assert_refused(self.upload(chunked=chunked))
+                self.leave.set()
+                self.assertIn(b"200 OK", first.recv(4096))
+                # The memory of the first one is available again.
+                third = self.upload(chunked=chunked)
+                self.assertTrue(self.entered.acquire(timeout=TIMEOUT_SECONDS))
+                self.assertIn(b"200 OK", third.recv(4096))
+
+    def test_request_without_a_large_body_is_served_beside_a_full_budget(self):
+        self.upload()
+        self.assertTrue(self.entered.acquire(timeout=TIMEOUT_SECONDS))
+        small = self.connect()
+        small.sendall(self.HEAD + b"Content-Length: 2\r\n\r\nab")
+        self.assertTrue(self.entered.acquire(timeout=TIMEOUT_SECONDS))
+        self.leave.set()
+        self.assertIn(b"200 OK", small.recv(4096))
+
+    def test_body_larger_than_the_budget_is_served_alone(self):
+        """Guards against a request that is refused for good."""
+        self.leave.set()
+        with mock.patch.object(TestBodyBudget, "BODY", b"x" * 1_048_000):
+            self.server._server.adj.body_budget._max_bytes = 1 << 19
+            self.assertIn(b"200 OK", self.upload().recv(4096))
+
+    def test_memory_of_an_upload_that_was_broken_off_is_available_again(self):
+        connection = self.connect()
+        connection.sendall(
+            self.HEAD + b"Content-Length: 900000\r\n\r\n" + b"x" * 70_000
+        )
+        time.sleep(0.1)
+        connection.close()
+        self.leave.set()
+        time.sleep(0.1)
+        self.assertIn(b"200 OK", self.upload().recv(4096))
+
+
 class TestConnectionLimit(ServerCase):
     """The number of connections, and so of threads, is limited."""
 
