Take no registration that lacks fields for a new start

Cause: missing fields were read as defaults, and a default start time differs from the known one, so the row counted as a new start of the upstream.

Change: a row without version, sequence or cold_left names no upstream. born stays optional, since the platform's own example of a registration has none.

Evidence, arm64: test_row_of_another_writer_without_a_field_counts_as_a_start fails on the sources before and passes now.

--- a/src/monsoonline/platform/documents.py
+++ b/src/monsoonline/platform/documents.py
@@ -182,6 +182,9 @@
         fields.add_finding("id", "visible ASCII characters")
     info = fields.child("info")
     status = fields.child("status")
+    # Rows without them are those of other writers.
+    info.string("version")
+    status.integer("sequence")
     registration = Registration(
         instance=instance,
         pool=info.string("service"),
@@ -191,7 +194,7 @@
         leaving=status.choice("state", TARGET_STATES) == "draining",
         born_ms=fields.integer("born", default=0),
         # ``cold_left`` is the time for which the target remains slow after its start.
-        cold=status.duration_ms("cold_left", default=0.0) > 0,
+        cold=status.duration_ms("cold_left") > 0,
     )
     fields.finish()
     return registration
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -174,6 +174,19 @@
             with self.subTest(content=content), self.assertRaises(FindingsError):
                 decode_registration("i1", content)
 
+    def test_row_of_another_writer_without_a_field_counts_as_a_start(self):
+        """Guards against a row that brings a target back that has left."""
+        for part, name in (
+            ("info", "version"),
+            ("status", "sequence"),
+            ("status", "cold_left"),
+        ):
+            row = TARGET | {part: {k: v for k, v in TARGET[part].items() if k != name}}
+            with self.subTest(name), self.assertRaises(FindingsError) as caught:
+                decode_registration("i1", json.dumps(row).encode())
+            paths = [finding.path for finding in caught.exception.findings]
+            self.assertEqual(paths, [f"{part}.{name}"])
+
     def test_values_that_nothing_can_be_sent_to_raise_findings(self):
         """Guards against a row of another writer that stops all reads of the store.
 
