Accept durations with any number of digits

Cause: a duration had at most six decimals, and one such time makes the whole configuration invalid.

Change: any number of digits and an exponent are accepted. What is not a finite number stays invalid; what is longer than poll can wait counts as that.

Evidence, arm64: test_valid_duration_with_many_digits_is_refused fails on the sources before, whose pattern ends after six decimals.

--- a/src/monsoonline/core/checked_fields.py
+++ b/src/monsoonline/core/checked_fields.py
@@ -5,6 +5,7 @@
 """
 
 import ipaddress
+import math
 import re
 import sys
 
@@ -12,7 +13,10 @@
 
 __all__ = ["MAX_INTEGER", "CheckedFields", "is_address", "is_number", "is_text"]
 
-DURATION = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,6})?)(ms|s)")
+# Programs print computed numbers with up to 17 digits, or with an exponent.
+DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?(?:[eE][+-]?[0-9]+)?)(ms|s)")
+# Longest wait of a poll; a longer duration has the same effect.
+MAX_DURATION_MS = 2.0**31 - 1
 UNIT_MS = {"ms": 1.0, "s": 1000.0}
 ADDRESS = re.compile(r"([0-9.]{7,15}):([0-9]{1,5})")
 MAX_PORT = 65_535
@@ -20,6 +24,15 @@
 MISSING = object()
 
 
+def parse_duration_ms(text):
+    """Return a duration such as ``2.5s`` in ms, ``None`` if it is not valid."""
+    match = DURATION.fullmatch(text)
+    if match is None:
+        return None
+    duration_ms = float(match[1]) * UNIT_MS[match[2]]
+    return min(MAX_DURATION_MS, duration_ms) if math.isfinite(duration_ms) else None
+
+
 class CheckedFields:
     """Reads and validates the fields of one JSON object.
 
@@ -109,13 +122,10 @@
             name,
             default,
             "0ms",
-            lambda v: isinstance(v, str) and DURATION.fullmatch(v),
+            lambda v: isinstance(v, str) and parse_duration_ms(v) is not None,
             "a duration such as 1500ms or 2.5s",
         )
-        if not isinstance(duration, str):
-            return duration
-        match = DURATION.fullmatch(duration)
-        return float(match[1]) * UNIT_MS[match[2]]
+        return parse_duration_ms(duration) if isinstance(duration, str) else duration
 
     def choice(self, name, valid, *, default=MISSING):
         """Return a field that is one of the valid strings."""
--- a/tests/core/test_checked_fields.py
+++ b/tests/core/test_checked_fields.py
@@ -29,6 +29,27 @@
         self.assertEqual(fields.duration_ms("b"), 2_500.0)
         fields.finish()
 
+    def test_valid_duration_with_many_digits_is_refused(self):
+        """Guards against a computed time that keeps a whole configuration out."""
+        texts = {
+            "990.0000000000001ms": 990.0000000000001,
+            "0.1234567890123456s": 123.4567890123456,
+            "1e-05s": 0.01,
+            "2.5E+2ms": 250.0,
+            "00000000001500ms": 1_500.0,
+            "9" * 200 + "s": 2.0**31 - 1,
+        }
+        for text, expected_ms in texts.items():
+            with self.subTest(text):
+                fields = self.fields({"a": text})
+                self.assertAlmostEqual(fields.duration_ms("a"), expected_ms)
+                fields.finish()
+        for text in ("1,5s", "-1s", "+1s", "1 s", "s", "nans", "infs", "1e400s", "1.s"):
+            with self.subTest(text):
+                fields = self.fields({"a": text})
+                fields.duration_ms("a")
+                self.assertEqual([f.value for f in fields.findings], [text])
+
     def test_default_replaces_missing_fields_but_not_invalid_ones(self):
         fields = self.fields({"bad": "x"})
         self.assertEqual(fields.integer("missing", default=7), 7)
