Let a blocked request show that it is harmless

Cause: a request that was in flight at two crashes is blocked until it completes, and a blocked request is never sent.

Change: 5 s after the newest crash one entry, chosen by a hash of the request among the live ones, sends it once, without a hedge or a repeat. Its completion clears it at all entries; a further crash puts the next trial off by 180 s. A request that does crash upstreams crashes a third one by this.

--- a/src/monsoonline/core/crashes.py
+++ b/src/monsoonline/core/crashes.py
@@ -23,6 +23,10 @@
 # of the crash.
 RESPONSE_DELAY_MS = 1_500.0
 SUSPECT_LIFETIME_MS = 600_000.0
+# Time after the newest crash at which a blocked request is tried once more, and the
+# same after a trial that has crashed an upstream, too.
+FIRST_TRIAL_DELAY_MS = 5_000.0
+LATER_TRIAL_DELAY_MS = 180_000.0
 MAX_FINGERPRINTS = 4_096
 MAX_INCIDENTS = 4
 # A request that completed within this time before a crash is not suspected of it.
@@ -121,12 +125,13 @@
 class SuspectedRequest:
     """Crashes during which a request was in flight."""
 
-    __slots__ = ("cleared", "incidents", "updated_at")
+    __slots__ = ("cleared", "incidents", "tried_at", "updated_at")
 
     def __init__(self):
         self.incidents = set()
         self.cleared = set()
         self.updated_at = float("-inf")
+        self.tried_at = float("-inf")
 
     @property
     def uncleared_count(self):
@@ -208,6 +213,29 @@
                 return False
             return suspect.uncleared_count >= CRASHES_TO_BLOCK
 
+    def take_trial(self, fingerprint, *, is_owner):
+        """Return whether a blocked request is sent once more, and count it as sent.
+
+        A harmless request that was in flight at unrelated crashes clears itself by
+        completing. One entry decides for all, so that a request that does crash
+        upstreams crashes one more.
+
+        :param fingerprint: fingerprint of the request
+        :param is_owner: returns whether this entry decides on the fingerprint
+        """
+        now = self._clock.now()
+        with self._lock:
+            suspect = self._suspects.get(fingerprint)
+            if suspect is None:
+                return True
+            first = suspect.uncleared_count <= CRASHES_TO_BLOCK
+            delay_ms = FIRST_TRIAL_DELAY_MS if first else LATER_TRIAL_DELAY_MS
+            due = now - max(suspect.updated_at, suspect.tried_at) >= delay_ms
+            if not due or not is_owner(fingerprint):
+                return False
+            suspect.tried_at = now
+            return True
+
     def suspected(self, fingerprint):
         """Return whether a request was in flight at a crash and not completed since."""
         with self._lock:
--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -18,6 +18,7 @@
     RouteMatched,
 )
 from monsoonline.core.fleet import single_entry_fleet
+from monsoonline.core.permits import owner_order
 from monsoonline.core.request_decisions import RequestDecisions
 from monsoonline.core.response_classification import ResponseClass, classify_response
 from monsoonline.core.splitting import ShareChooser
@@ -117,6 +118,7 @@
         poller=select.poll,
     ):
         decisions = decisions or RequestDecisions()
+        self._fleet = fleet or single_entry_fleet(failure_domain)
         self._poller = poller
         self._clock = clock
         self._names = names
@@ -145,7 +147,7 @@
         )
         self._permits = UpstreamPermits(
             clock=clock,
-            fleet=fleet or single_entry_fleet(failure_domain),
+            fleet=self._fleet,
             find_state=self._pools.find_state,
             limits=self._limits,
             send=send,
@@ -286,12 +288,15 @@
 
     def _handle_task(self, task):
         if self._crashes.blocked(task.fingerprint):
-            raise Refusal(
-                "the request was in flight at several crashes of upstreams",
-                code="crashing-request",
-                outcome=Outcome.UNKNOWN,
-                status=502,
-            )
+            if not self._crashes.take_trial(task.fingerprint, is_owner=self._owns):
+                raise Refusal(
+                    "the request was in flight at several crashes of upstreams",
+                    code="crashing-request",
+                    outcome=Outcome.UNKNOWN,
+                    status=502,
+                )
+            self._metrics.count("trials_of_crashing_requests_total")
+            task.single_attempt = True
         self._admit_until(task.deadline)
         task.pool.retry_budget.record_first_attempt(task.started)
         try:
@@ -299,6 +304,13 @@
         finally:
             self._attempts.cancel_open(task)
 
+    def _owns(self, fingerprint):
+        """Return whether this entry decides for all entries on a blocked request."""
+        alive = self._fleet.alive(self._clock.now())
+        own = self._fleet.own.name
+        names = [own, *(m.name for m in alive if m.ready and not m.leaving)]
+        return owner_order(fingerprint, names, 1) == [own]
+
     def _create_task(self, request, trail):
         if not self._pools.has_tables:
             raise self._placer.refusal("this entry has no tables yet", "no-tables")
--- a/src/monsoonline/entry/request_task.py
+++ b/src/monsoonline/entry/request_task.py
@@ -59,6 +59,8 @@
         self.attempts_sent = 0
         self.excluded = set()
         self.may_have_run = False
+        # Whether at most one attempt is made, whatever the route allows.
+        self.single_attempt = False
         self.caller_left = False
         # Response of an upstream that reports a failed request; sent to the caller when
         # no later attempt succeeds.
@@ -77,5 +79,6 @@
 
     @property
     def attempts_left(self):
-        """Number of attempts that the route still allows."""
-        return self.route.tolerance.retries + 1 - self.attempts_sent
+        """Number of attempts that are still allowed."""
+        allowed = 1 if self.single_attempt else self.route.tolerance.retries + 1
+        return allowed - self.attempts_sent
--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -45,6 +45,37 @@
         self.share(second)
         self.assertTrue(all(t.blocked("bad") for t in self.trackers))
 
+    def test_harmless_request_is_blocked_for_all_callers_after_two_crashes(self):
+        """Guards against a block that nothing can end before its time."""
+        first, second, third = self.trackers
+        self.crash(first, "a:1", "harmless")
+        self.crash(first, "b:1", "harmless")
+        self.share(first)
+        self.clock.advance(4_900.0)
+        self.assertFalse(second.take_trial("harmless", is_owner=lambda f: True))
+        self.clock.advance(200.0)
+        self.assertFalse(third.take_trial("harmless", is_owner=lambda f: False))
+        self.assertTrue(second.take_trial("harmless", is_owner=lambda f: True))
+        # One at a time, also while the trial runs.
+        self.assertFalse(second.take_trial("harmless", is_owner=lambda f: True))
+        second.started("c:1", "harmless")
+        second.finished("c:1", "harmless", completed=True)
+        self.share(second)
+        self.assertFalse(any(t.blocked("harmless") for t in self.trackers))
+
+    def test_trial_that_crashes_an_upstream_is_not_repeated_soon(self):
+        first, second, _ = self.trackers
+        self.crash(first, "a:1", "bad")
+        self.crash(first, "b:1", "bad")
+        self.clock.advance(5_000.0)
+        self.assertTrue(first.take_trial("bad", is_owner=lambda f: True))
+        self.crash(first, "c:1", "bad")
+        self.share(first)
+        self.clock.advance(179_000.0)
+        for tracker in (first, second):
+            self.assertTrue(tracker.blocked("bad"))
+            self.assertFalse(tracker.take_trial("bad", is_owner=lambda f: True))
+
     def test_merging_is_idempotent_and_independent_of_order(self):
         """Guards against miscounts: gossip repeats and reorders shared items."""
         reports = [
--- a/tests/entry/test_placed_relay.py
+++ b/tests/entry/test_placed_relay.py
@@ -9,7 +9,8 @@
 from monsoonline.adapters.cancellation import Cancellation
 from monsoonline.adapters.upstream_sessions import SessionPool
 from monsoonline.clock import SystemClock
-from monsoonline.core.crashes import CrashTracker
+from monsoonline.core.crashes import CrashReport, CrashTracker
+from monsoonline.core.fingerprints import fingerprint_of
 from monsoonline.core.model import (
     Pool,
     PoolShare,
@@ -455,6 +456,21 @@
                     self.refused(relay, self.request())
                 self.assertEqual(target.executed, [])
 
+    def test_trial_of_a_blocked_request_is_sent_once_without_a_hedge(self):
+        """Guards against a crashing request that ends two upstreams at once."""
+        slow = {"delay_ms": 2 * LATENCY_OBJECTIVE_MS - 100.0}
+        targets = [Target(f"i{n}", replies=lambda n, r: slow) for n in (1, 2)]
+        relay = self.relay_to(*targets)
+        fingerprint = fingerprint_of(self.request())
+        relay._crashes.observe(
+            CrashReport(fingerprint=fingerprint, incidents=["1", "2"], age_ms=4_000.0)
+        )
+        self.assertEqual(self.refused(relay, self.request()).code, "crashing-request")
+        relay._crashes._suspects[fingerprint].updated_at -= 1_500.0
+        self.assertEqual(relay.handle(self.request()).status, 200)
+        self.assertEqual(sum(len(t.executed) for t in targets), 1)
+        self.assertFalse(relay._crashes.blocked(fingerprint))
+
     def test_unreachable_targets_are_not_run(self):
         stopped = Target("i1")
         relay = self.relay_to(stopped)
