Read the members of the fleet under a lock

Cause: iterating over a dictionary that another thread changes raises RuntimeError; an update also stored a member before its time, and derived values could be forgotten between their computation and their return.

Change: a lock in Fleet, and one in RetryBudget, which also drops expired first attempts when it counts one, so that a pool without retries no longer keeps a time for each request.

--- a/src/monsoonline/core/fleet.py
+++ b/src/monsoonline/core/fleet.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import threading
 
 __all__ = [
     "LIVENESS_TIMEOUT_MS",
@@ -54,10 +55,13 @@
 class Fleet:
     """Known members by name, each with the time of its newest update.
 
+    Threads of requests read the members while messages change them.
+
     :param own: the :class:`FleetMember` of this entry
     """
 
     def __init__(self, *, own):
+        self._lock = threading.RLock()
         self._own = own
         self._members = {}
         self._updated_at = {}
@@ -78,25 +82,28 @@
         This entry is included if it is not leaving. The dictionary is replaced, not
         changed, when the members change.
         """
-        if self._remaining is None:
-            members = (self._own, *self._members.values())
-            self._remaining = {m.name: m for m in members if not m.leaving}
-        return self._remaining
+        with self._lock:
+            if self._remaining is None:
+                members = (self._own, *self._members.values())
+                self._remaining = {m.name: m for m in members if not m.leaving}
+            return self._remaining
 
     def set_own(self, **changes):
         """Change fields of this entry's own member."""
-        self._own = dataclasses.replace(self._own, **changes)
-        self._forget_derived()
+        with self._lock:
+            self._own = dataclasses.replace(self._own, **changes)
+            self._forget_derived()
 
     def note_message(self, peer_address, now):
         """Record that a message was received from a ``host:port``."""
-        if self._domains is None:
-            self._domains = {
-                m.peer_address: m.failure_domain for m in self._members.values()
-            }
-        domain = self._domains.get(peer_address)
-        if domain is not None:
-            self._heard_at[domain] = now
+        with self._lock:
+            if self._domains is None:
+                self._domains = {
+                    m.peer_address: m.failure_domain for m in self._members.values()
+                }
+            domain = self._domains.get(peer_address)
+            if domain is not None:
+                self._heard_at[domain] = now
 
     def update(self, member, *, now, age_ms=0.0):
         """Apply an update about a member, unless a newer one is known.
@@ -108,39 +115,44 @@
         if member.name == self._own.name:
             return
         updated_at = now - age_ms
-        if updated_at <= self._updated_at.get(member.name, float("-inf")):
-            return
-        if self._members.get(member.name) != member:
-            self._members[member.name] = member
-            self._forget_derived()
-        self._updated_at[member.name] = updated_at
+        with self._lock:
+            if updated_at <= self._updated_at.get(member.name, float("-inf")):
+                return
+            if self._members.get(member.name) != member:
+                self._members[member.name] = member
+                self._forget_derived()
+            self._updated_at[member.name] = updated_at
 
     def add_listed(self, member, *, now):
         """Add a member listed in the store, without taking it as live."""
-        if member.name == self._own.name or member.name in self._members:
-            return
-        self._members[member.name] = member
-        self._forget_derived()
-        self._updated_at[member.name] = now - LIVENESS_TIMEOUT_MS
+        with self._lock:
+            if member.name == self._own.name or member.name in self._members:
+                return
+            self._members[member.name] = member
+            self._forget_derived()
+            self._updated_at[member.name] = now - LIVENESS_TIMEOUT_MS
 
     def forget_unresponsive(self, now):
         """Remove members without an update for :data:`FORGET_TIMEOUT_MS`."""
-        for name, updated_at in list(self._updated_at.items()):
-            if now - updated_at > FORGET_TIMEOUT_MS:
-                del self._members[name], self._updated_at[name]
-                self._forget_derived()
+        with self._lock:
+            for name, updated_at in list(self._updated_at.items()):
+                if now - updated_at > FORGET_TIMEOUT_MS:
+                    del self._members[name], self._updated_at[name]
+                    self._forget_derived()
 
     def others(self):
         """Return all other members that are known, live or not."""
-        return tuple(self._members.values())
+        with self._lock:
+            return tuple(self._members.values())
 
     def alive(self, now):
         """Return the other members that are live."""
-        return tuple(
-            member
-            for name, member in self._members.items()
-            if now - self._updated_at[name] < LIVENESS_TIMEOUT_MS
-        )
+        with self._lock:
+            return tuple(
+                member
+                for name, member in self._members.items()
+                if now - self._updated_at[name] < LIVENESS_TIMEOUT_MS
+            )
 
     def age_ms(self, name, now):
         """Return the time since an update of a member, also if others relayed it."""
@@ -170,12 +182,13 @@
 
     def ages(self, now, *, failure_domain):
         """Return the :class:`MemberAge` of each live member of one failure domain."""
-        return tuple(
-            MemberAge(member=member, age_ms=now - self._updated_at[name])
-            for name, member in self._members.items()
-            if member.failure_domain == failure_domain
-            and now - self._updated_at[name] < LIVENESS_TIMEOUT_MS
-        )
+        with self._lock:
+            return tuple(
+                MemberAge(member=member, age_ms=now - self._updated_at[name])
+                for name, member in self._members.items()
+                if member.failure_domain == failure_domain
+                and now - self._updated_at[name] < LIVENESS_TIMEOUT_MS
+            )
 
     def live_names(self, now):
         """Return the names of all live members, this entry included."""
--- a/src/monsoonline/core/retry_budget.py
+++ b/src/monsoonline/core/retry_budget.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import threading
 
 __all__ = ["RetryBudget", "RetryLimits"]
 
@@ -40,6 +41,7 @@
 
     def __init__(self, *, limits):
         self._limits = limits
+        self._lock = threading.Lock()
         self._first_attempts = collections.deque()
         self._retries = collections.deque()
 
@@ -49,7 +51,9 @@
 
     def record_first_attempt(self, now):
         """Count a first attempt."""
-        self._first_attempts.append(now)
+        with self._lock:
+            self._expire(now)
+            self._first_attempts.append(now)
 
     def try_acquire(self, now, *, entries, hedge=False):
         """Return whether the budget allows one more retry, and count it if so.
@@ -58,22 +62,24 @@
         :param entries: number of entries that share the budget
         :param hedge: whether the retry is a hedge
         """
-        self._expire(now)
-        allowed = BUDGET_SHARE * (
-            self._limits.ratio * len(self._first_attempts)
-            + self._limits.slack / max(1, entries)
-        )
-        if hedge:
-            allowed *= HEDGE_SHARE
-        if len(self._retries) + 1 > allowed:
-            return False
-        self._retries.append(now)
-        return True
+        with self._lock:
+            self._expire(now)
+            allowed = BUDGET_SHARE * (
+                self._limits.ratio * len(self._first_attempts)
+                + self._limits.slack / max(1, entries)
+            )
+            if hedge:
+                allowed *= HEDGE_SHARE
+            if len(self._retries) + 1 > allowed:
+                return False
+            self._retries.append(now)
+            return True
 
     def release(self):
         """Return the newest retry to the budget, after no upstream was found for it."""
-        if self._retries:
-            self._retries.pop()
+        with self._lock:
+            if self._retries:
+                self._retries.pop()
 
     def _expire(self, now):
         oldest = now - self._limits.window_ms
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -1,5 +1,6 @@
 """Tests of fleet membership."""
 
+import itertools
 import unittest
 
 from monsoonline.core.fleet import (
@@ -9,6 +10,7 @@
     Fleet,
     FleetMember,
 )
+from tests.fixtures import run_together
 
 
 def member(name, **changes):
@@ -32,6 +34,26 @@
         self.fleet.update(member("b", ready=True), now=1_100.0, age_ms=300.0)
         self.assertTrue(self.fleet.others()[0].leaving)
 
+    def test_members_are_read_while_messages_change_them(self):
+        """Guards against requests that fail while a member joins or is forgotten."""
+        numbers = itertools.count()
+
+        def change():
+            number = next(numbers)
+            joined = member(f"m{number % 50}", ready=bool(number % 2))
+            self.fleet.update(joined, now=float(number))
+            self.fleet.forget_unresponsive(number + FORGET_TIMEOUT_MS - 20.0)
+
+        def read():
+            now = float(next(numbers))
+            self.fleet.note_message("10.0.0.1:90", now)
+            self.assertIsNotNone(self.fleet.remaining)
+            self.fleet.alive(now)
+            self.fleet.ages(now, failure_domain="a")
+            self.fleet.contact_share(now)
+
+        self.assertEqual(run_together(change, change, read, read), [])
+
     def test_unresponsive_member_is_not_live_and_later_forgotten(self):
         self.fleet.update(member("b"), now=0.0)
         self.assertEqual(len(self.fleet.alive(LIVENESS_TIMEOUT_MS - 1.0)), 1)
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -1,6 +1,9 @@
 """Rows, edits, stand-ins and deployments shared by tests."""
 
 import itertools
+import sys
+import threading
+import time
 
 import numpy
 import orjson
@@ -29,6 +32,34 @@
     READ_BURST = WRITE_BURST = 1e6
 
 
+def run_together(*calls, seconds=0.5):
+    """Run functions in threads again and again; return the errors that they raise.
+
+    Threads are switched often, so that calls interleave.
+    """
+    errors = []
+    ends_at = time.monotonic() + seconds
+
+    def repeat(call):
+        try:
+            while time.monotonic() < ends_at and not errors:
+                call()
+        except Exception as error:
+            errors.append(error)
+
+    interval_s = sys.getswitchinterval()
+    sys.setswitchinterval(1e-6)
+    threads = [threading.Thread(target=repeat, args=(call,)) for call in calls]
+    try:
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+    finally:
+        sys.setswitchinterval(interval_s)
+    return errors
+
+
 def pool_document(department="sales", slots=3, address="127.0.0.1:9000"):
     upstream = {"address": address, "slots": slots}
     return {"department": department, "upstreams": [upstream]}
