Let entries that forgot each other find each other again

Cause: a member that was not heard for 60 s is forgotten, and nobody sends to forgotten members. An entry reads the store's list of entries only at its start.

Change: forgotten members are remembered for an hour, and one of them gets a heartbeat every 5 s, 280 B/s at most.

Evidence, arm64: test_entries_that_forgot_each_other_join_no_more fails on the sources before and passes now.

--- a/src/monsoonline/core/fleet.py
+++ b/src/monsoonline/core/fleet.py
@@ -5,7 +5,9 @@
 :mod:`monsoonline.core.membership`.
 """
 
+import collections
 import dataclasses
+import random
 import threading
 
 __all__ = [
@@ -22,6 +24,10 @@
 CONTACT_TIMEOUT_MS = 2_000.0
 # A member without an update for this time is no longer sent messages.
 FORGET_TIMEOUT_MS = 60_000.0
+# Members that were forgotten may have been cut off. They are kept for this time, so
+# that both sides of a partition find each other again.
+LOST_LIFETIME_MS = 3_600_000.0
+MAX_LOST_MEMBERS = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -65,6 +71,8 @@
         self._own = own
         self._members = {}
         self._updated_at = {}
+        # Forgotten members and when they were forgotten, by name, the latest last.
+        self._lost = collections.OrderedDict()
         # Time of the last message from each failure domain.
         self._heard_at = {}
         self._remaining = None
@@ -122,6 +130,7 @@
                 self._members[member.name] = member
                 self._forget_derived()
             self._updated_at[member.name] = updated_at
+            self._lost.pop(member.name, None)
 
     def add_listed(self, member, *, now):
         """Add a member listed in the store, without taking it as live."""
@@ -137,8 +146,20 @@
         with self._lock:
             for name, updated_at in list(self._updated_at.items()):
                 if now - updated_at > FORGET_TIMEOUT_MS:
-                    del self._members[name], self._updated_at[name]
+                    self._lost[name] = (self._members.pop(name), now)
+                    del self._updated_at[name]
                     self._forget_derived()
+            while self._lost and self._has_expired_lost(now):
+                self._lost.popitem(last=False)
+
+    def lost_member(self):
+        """Return one of the forgotten members at random, ``None`` without any.
+
+        Those that were leaving are not returned.
+        """
+        with self._lock:
+            lost = [member for member, _ in self._lost.values() if not member.leaving]
+        return random.choice(lost) if lost else None
 
     def others(self):
         """Return all other members that are known, live or not."""
@@ -168,6 +189,11 @@
         in_contact = sum(self._is_in_contact(member, now) for member in others)
         return (1 + in_contact) / (1 + len(others))
 
+    def _has_expired_lost(self, now):
+        _, forgotten_at = next(iter(self._lost.values()))
+        too_many = len(self._lost) > MAX_LOST_MEMBERS
+        return too_many or now - forgotten_at > LOST_LIFETIME_MS
+
     def _forget_derived(self):
         """Forget what is derived from the members, after they have changed."""
         self._remaining = None
--- a/src/monsoonline/entry/fleet_link.py
+++ b/src/monsoonline/entry/fleet_link.py
@@ -36,6 +36,8 @@
 __all__ = ["FleetLink"]
 
 HEARTBEAT_INTERVAL_MS = 400.0
+# Interval of heartbeats to members that were forgotten; 280 B/s at most.
+LOST_CONTACT_INTERVAL_MS = 5_000.0
 FAILURE_NOTICE_INTERVAL_MS = 150.0
 MAX_FAILURES_PER_NOTICE = 40
 # Reports of crashes are repeated, so that entries learn of them that were started, cut
@@ -376,8 +378,13 @@
     # Sending
 
     def _send_heartbeats(self):
+        contacted_at = self._clock.now()
         while not self._stopping.wait(HEARTBEAT_INTERVAL_MS / 1e3):
-            self._fleet.forget_unresponsive(self._clock.now())
+            now = self._clock.now()
+            self._fleet.forget_unresponsive(now)
+            if now - contacted_at >= LOST_CONTACT_INTERVAL_MS:
+                contacted_at = now
+                self._contact_lost_member()
             local, remote = self._recipient_selector.next_heartbeat()
             for members, is_remote in ((local, False), (remote, True)):
                 if not members:
@@ -386,6 +393,12 @@
                 for member in members:
                     self._send(member, content)
 
+    def _contact_lost_member(self):
+        """Send a heartbeat to a forgotten member, which may have been cut off."""
+        member = self._fleet.lost_member()
+        if member is not None:
+            self._send(member, encode_datagram(self._make_heartbeat(remote=True)))
+
     def _make_heartbeat(self, *, remote):
         """Return a heartbeat for the local failure domain or a remote one."""
         return Heartbeat(
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -7,6 +7,7 @@
     CONTACT_TIMEOUT_MS,
     FORGET_TIMEOUT_MS,
     LIVENESS_TIMEOUT_MS,
+    LOST_LIFETIME_MS,
     Fleet,
     FleetMember,
 )
@@ -59,9 +60,24 @@
         self.assertEqual(len(self.fleet.alive(LIVENESS_TIMEOUT_MS - 1.0)), 1)
         self.assertEqual(self.fleet.alive(LIVENESS_TIMEOUT_MS + 1.0), ())
         self.assertEqual(len(self.fleet.others()), 1)
+        self.assertIsNone(self.fleet.lost_member())
         self.fleet.forget_unresponsive(FORGET_TIMEOUT_MS + 1.0)
         self.assertEqual(self.fleet.others(), ())
 
+    def test_forgotten_member_is_lost_until_it_is_heard_or_too_old(self):
+        self.fleet.update(member("b"), now=0.0)
+        self.fleet.forget_unresponsive(FORGET_TIMEOUT_MS + 1.0)
+        self.assertEqual(self.fleet.lost_member().name, "b")
+        self.fleet.update(member("b", leaving=True), now=70_000.0)
+        self.assertIsNone(self.fleet.lost_member())
+        self.fleet.forget_unresponsive(140_000.0)
+        self.assertIsNone(self.fleet.lost_member())
+        self.fleet.update(member("c"), now=140_000.0)
+        self.fleet.forget_unresponsive(210_000.0)
+        self.assertEqual(self.fleet.lost_member().name, "c")
+        self.fleet.forget_unresponsive(210_000.0 + LOST_LIFETIME_MS + 1.0)
+        self.assertIsNone(self.fleet.lost_member())
+
     def test_listed_member_is_known_but_not_live(self):
         """The list in the store also has entries that stopped long ago."""
         self.fleet.add_listed(member("b"), now=0.0)
--- a/tests/entry/test_fleet_service.py
+++ b/tests/entry/test_fleet_service.py
@@ -8,7 +8,10 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
+from monsoonline.core.fleet import FORGET_TIMEOUT_MS
+from monsoonline.entry import fleet_link
 from monsoonline.entry.fleet_service import FleetEntryService
 from monsoonline.platform.headers import DISCOVERY_PATH, HEADERS, READINESS_PATH
 from monsoonline.platform.main import DIALECT
@@ -213,6 +216,24 @@
         self.assertLessEqual(self.store.calls - before, 10)
 
 
+class TestPartition(FleetTest):
+    """Entries that were cut off from each other find each other again."""
+
+    def test_entries_that_forgot_each_other_join_no_more(self):
+        """Guards against budgets and lists that a long partition splits for good."""
+        with mock.patch.object(fleet_link, "LOST_CONTACT_INTERVAL_MS", 400.0):
+            # Until no message that was sent before is left.
+            cut_until = time.monotonic() + 1.0
+            while time.monotonic() < cut_until:
+                for entry in self.entries:
+                    later = entry._clock.now() + FORGET_TIMEOUT_MS + 1_000.0
+                    entry._fleet.forget_unresponsive(later)
+                time.sleep(0.002)
+            self.assertTrue(
+                eventually(lambda: all(e._fleet.others() for e in self.entries))
+            )
+
+
 class TestStoreFailures(FleetTest):
     """Entries keep serving during a store outage and catch up afterwards."""
 
