Show the memory of request bodies in the metrics

Refusals for lack of memory for a body were seen by their callers only, and a body that was never released would have shown as memory alone.

Change: monsoonline_request_body_bytes, which returns to 0 and is checked by the soak, and monsoonline_bodies_refused. test_bodies_together_exceed_the_memory checks both.

--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -166,6 +166,7 @@
         outcome = Outcome.UNKNOWN if failed else Outcome.NOT_RUN
         self.response_headers.append(("Monsoonline-Outcome", outcome.value))
         if isinstance(self.request.error, BodiesTooLarge):
+            self.channel.server.bodies_refused += 1
             self.response_headers.append(("Retry-After", str(BODY_RETRY_AFTER_S)))
         if isinstance(self.request.error, BODY_ERRORS):
             self.channel.body_refused = True
@@ -340,6 +341,8 @@
     closing = False
     # Whether to close the listening socket once its accept queue is empty.
     listener_closing = False
+    # Number of requests that found no memory for their bodies.
+    bodies_refused = 0
     limits = CallerLimits()
 
     def __init__(self, application, *, limit, adj):
@@ -519,6 +522,16 @@
         """Number of open caller connections."""
         return len(self._server.active_channels)
 
+    @property
+    def body_bytes(self):
+        """Bytes of large bodies of all requests in progress."""
+        return self._server.adj.body_budget.taken
+
+    @property
+    def bodies_refused(self):
+        """Number of requests that found no memory for their bodies."""
+        return self._server.bodies_refused
+
     def start(self):
         """Start accepting connections in a separate thread."""
         self._thread = threading.Thread(
--- a/src/monsoonline/adapters/receive_budget.py
+++ b/src/monsoonline/adapters/receive_budget.py
@@ -29,6 +29,11 @@
         self._taken = 0
         self._lock = threading.Lock()
 
+    @property
+    def taken(self):
+        """Bytes that are counted now."""
+        return self._taken
+
     def open(self):
         """Return the :class:`ReceivedBytes` of one connection."""
         return ReceivedBytes(budget=self)
--- a/src/monsoonline/entry/fleet_service.py
+++ b/src/monsoonline/entry/fleet_service.py
@@ -381,10 +381,12 @@
         return response
 
     def _measure_use(self):
-        """Set the gauges of what is in use, each 0 while there are no callers."""
+        """Set the gauges of what callers use; only refused bodies are a sum."""
         self._metrics.gauge("caller_connections", self._callers.open_connections)
         self._metrics.gauge("requests_in_flight", self._callers.requests_in_flight)
         self._metrics.gauge("upstream_attempts_open", self._relay.open_attempts)
+        self._metrics.gauge("request_body_bytes", self._callers.body_bytes)
+        self._metrics.gauge("bodies_refused", self._callers.bodies_refused)
 
     def _handle_status_request(self, request):
         """Return the response to a readiness, discovery or metrics request."""
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -395,6 +395,8 @@
                 first = self.upload()
                 self.assertTrue(self.entered.acquire(timeout=TIMEOUT_SECONDS))
                 self.assert_refused(self.upload(chunked=chunked))
+                self.assertEqual(self.server.bodies_refused, 1 + chunked)
+                self.assertEqual(self.server.body_bytes, len(self.BODY))
                 self.leave.set()
                 self.assertIn(b"200 OK", first.recv(4096))
                 # The memory of the first one is available again.
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -17,7 +17,12 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TEMPLATE = ROOT / "deploy" / "settings.json.template"
-HELD_GAUGES = ("caller_connections", "requests_in_flight", "upstream_attempts_open")
+HELD_GAUGES = (
+    "caller_connections",
+    "requests_in_flight",
+    "upstream_attempts_open",
+    "request_body_bytes",
+)
 GAUGE = re.compile(r"^monsoonline_(\w+)(?:\{\})? (\S+)$", re.MULTILINE)
 PEAK_KB = re.compile(r"^VmHWM:\s*(\d+) kB", re.MULTILINE)
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
