Date the reads of other entries by the reader's own clock

Cause: messages stated the age of the newest read of the store. The age does not grow while a message waits in the socket of a paused process, so the read became newer with each stay there, the others believed it and put off their own reads. A read also counted before its result was in effect.

Change: only the reader tells of a read, with the time on its own clock. The others date it by an exchange of the time with the reader, which bounds the offset of the clocks from below: a message that waits makes a read seem older, never newer. A read counts once its result is applied, and no entry goes without one for more than 1.7 s.

It works because what another entry says can only make an entry read earlier than its turn, never later.

--- a/src/monsoonline/adapters/fleet_codec.py
+++ b/src/monsoonline/adapters/fleet_codec.py
@@ -15,6 +15,7 @@
 from monsoonline.core.checked_fields import MAX_INTEGER, is_address, is_text
 from monsoonline.core.crashes import CrashReport
 from monsoonline.core.fleet import FleetMember, MemberAge
+from monsoonline.core.peer_reads import Reader
 from monsoonline.core.registrations import (
     MAX_SLOTS,
     Registration,
@@ -190,82 +191,151 @@
     )
 
 
+PACKERS = {}
+
+
+def packs(kind):
+    """Register a function that returns the fields of a kind of message as a list."""
+
+    def register(function):
+        PACKERS[kind] = function
+        return function
+
+    return register
+
+
 def pack_message(message):
     """Return a message as a list of JSON values that starts with its kind.
 
     :raises TypeError: when the object is not a message between entries
     """
-    if isinstance(message, messages.Heartbeat):
-        return [
-            "beat",
-            pack_member(message.sender),
-            pack_ages(message.members),
-            message.read_age_ms,
-            message.tables_revision,
-            message.registrations_revision,
-            message.registrations_digest,
-        ]
-    if isinstance(message, messages.ReadNotice):
-        delta = message.delta
-        return [
-            "read",
-            pack_member(message.sender),
-            message.read_age_ms,
-            message.tables_revision,
-            delta.revision,
-            delta.base,
-            delta.digest,
-            [pack_registration(item) for item in delta.changed],
-            list(delta.removed),
-        ]
-    if isinstance(message, messages.FailureNotice):
-        failures = [[item.instance, item.weight] for item in message.failures]
-        sender = pack_member(message.sender)
-        crashes = [report.encode().decode() for report in message.crashes]
-        return ["failures", sender, failures, crashes]
-    if isinstance(message, messages.LoadNotice):
-        loads = [
-            [
-                item.instance,
-                item.report.in_flight,
-                item.report.queued,
-                item.report.slots,
-                item.report.pace,
-                *(() if item.limit is None else (item.limit,)),
-            ]
-            for item in message.loads
-        ]
-        return ["loads", message.sender, message.chosen, loads]
-    if isinstance(message, messages.PermitRequest):
-        return [
-            "permit?",
-            message.number,
-            message.instance,
-            message.born_ms,
-            message.rank,
-            *pack_limit_age(message.observed),
-        ]
-    if isinstance(message, messages.PermitReply):
-        return [
-            "permit",
-            message.number,
-            int(message.result),
-            round(message.tokens, 3),
-            *pack_limit_age(message.observed),
+    pack = PACKERS.get(type(message))
+    if pack is None:
+        raise TypeError(f"cannot encode {message!r}: not a message between entries")
+    return pack(message)
+
+
+@packs(messages.Heartbeat)
+def pack_heartbeat(message):
+    """Return a heartbeat as a list."""
+    return [
+        "beat",
+        pack_member(message.sender),
+        pack_ages(message.members),
+        # Entries of earlier versions expect the age of a read here.
+        None,
+        message.tables_revision,
+        message.registrations_revision,
+        message.registrations_digest,
+    ]
+
+
+@packs(messages.ReadNotice)
+def pack_read_notice(message):
+    """Return a read notice as a list.
+
+    Its time is rounded down, so that the read never seems newer than it is.
+    """
+    delta = message.delta
+    return [
+        "read",
+        pack_member(message.sender),
+        message.incarnation,
+        math.floor(message.read_at),
+        message.tables_revision,
+        delta.revision,
+        delta.base,
+        delta.digest,
+        [pack_registration(item) for item in delta.changed],
+        list(delta.removed),
+    ]
+
+
+@packs(messages.FailureNotice)
+def pack_failure_notice(message):
+    """Return a failure notice as a list."""
+    failures = [[item.instance, item.weight] for item in message.failures]
+    crashes = [report.encode().decode() for report in message.crashes]
+    return ["failures", pack_member(message.sender), failures, crashes]
+
+
+@packs(messages.LoadNotice)
+def pack_load_notice(message):
+    """Return a load notice as a list."""
+    loads = [
+        [
+            item.instance,
+            item.report.in_flight,
+            item.report.queued,
+            item.report.slots,
+            item.report.pace,
+            *(() if item.limit is None else (item.limit,)),
         ]
-    if isinstance(message, messages.PermitReturn):
-        return ["return", message.instance, message.born_ms]
-    if isinstance(message, messages.OwnerCheck):
-        return ["check", message.sender, int(message.response)]
-    raise TypeError(f"cannot encode {message!r}: not a message between entries")
+        for item in message.loads
+    ]
+    return ["loads", message.sender, message.chosen, loads]
 
 
-def unpack_heartbeat(sender, members, read_age_ms, tables, registrations, digest):
+@packs(messages.PermitRequest)
+def pack_permit_request(message):
+    """Return a request for a permit as a list."""
+    return [
+        "permit?",
+        message.number,
+        message.instance,
+        message.born_ms,
+        message.rank,
+        *pack_limit_age(message.observed),
+    ]
+
+
+@packs(messages.PermitReply)
+def pack_permit_reply(message):
+    """Return the reply to a request for a permit as a list."""
+    return [
+        "permit",
+        message.number,
+        int(message.result),
+        round(message.tokens, 3),
+        *pack_limit_age(message.observed),
+    ]
+
+
+@packs(messages.PermitReturn)
+def pack_permit_return(message):
+    """Return the return of a permit as a list."""
+    return ["return", message.instance, message.born_ms]
+
+
+@packs(messages.OwnerCheck)
+def pack_owner_check(message):
+    """Return an owner check as a list."""
+    return ["check", message.sender, int(message.response)]
+
+
+@packs(messages.ClockRequest)
+def pack_clock_request(message):
+    """Return a request for the time as a list.
+
+    Its time is rounded down, so that the clock of the receiver is never taken to be
+    further ahead than the exchange has shown.
+    """
+    return ["clock?", message.incarnation, math.floor(message.sent_at)]
+
+
+@packs(messages.ClockReply)
+def pack_clock_reply(message):
+    """Return the reply to a request for the time as a list."""
+    _, *request = pack_clock_request(message.request)
+    reader = message.reader
+    return ["clock", *request, reader.name, reader.incarnation, math.ceil(message.time)]
+
+
+def unpack_heartbeat(sender, members, _, tables, registrations, digest):
     """Return the :class:`Heartbeat` packed in these fields."""
     return messages.Heartbeat(
         sender=unpack_member(sender),
         members=unpack_ages(members),
-        read_age_ms=unpack_optional(read_age_ms),
         tables_revision=unpack_integer(tables),
         registrations_revision=unpack_integer(registrations),
         registrations_digest=str(digest),
@@ -273,12 +343,13 @@
 
 
 def unpack_read_notice(
-    sender, read_age_ms, tables, revision, base, digest, changed, removed
+    sender, incarnation, read_at, tables, revision, base, digest, changed, removed
 ):
     """Return the :class:`ReadNotice` packed in these fields."""
     return messages.ReadNotice(
         sender=unpack_member(sender),
-        read_age_ms=unpack_number(read_age_ms),
+        incarnation=unpack_integer(incarnation),
+        read_at=unpack_number(read_at),
         tables_revision=unpack_integer(tables),
         delta=RegistrationDelta(
             revision=unpack_integer(revision),
@@ -351,6 +422,24 @@
     return messages.PermitReturn(instance=str(instance), born_ms=int(born_ms))
 
 
+def unpack_clock_request(incarnation, sent_at):
+    """Return the :class:`ClockRequest` packed in these fields."""
+    return messages.ClockRequest(
+        incarnation=unpack_integer(incarnation), sent_at=unpack_number(sent_at)
+    )
+
+
+def unpack_clock_reply(incarnation, sent_at, name, reader_incarnation, time):
+    """Return the :class:`ClockReply` packed in these fields."""
+    return messages.ClockReply(
+        request=unpack_clock_request(incarnation, sent_at),
+        reader=Reader(
+            name=unpack_text(name), incarnation=unpack_integer(reader_incarnation)
+        ),
+        time=unpack_number(time),
+    )
+
+
 def unpack_owner_check(sender, response):
     """Return the :class:`OwnerCheck` packed in these fields."""
     return messages.OwnerCheck(sender=str(sender), response=bool(response))
@@ -365,6 +454,8 @@
     "permit": unpack_permit_reply,
     "return": unpack_permit_return,
     "check": unpack_owner_check,
+    "clock?": unpack_clock_request,
+    "clock": unpack_clock_reply,
 }
 
 
--- a/src/monsoonline/clock.py
+++ b/src/monsoonline/clock.py
@@ -20,6 +20,13 @@
         """
         raise NotImplementedError
 
+    def boot(self):
+        """Return the time since the machine started, which counts suspension.
+
+        :returns: milliseconds since an arbitrary reference point of this machine
+        """
+        raise NotImplementedError
+
     def wall(self):
         """Return the wall-clock time, for log lines and reports only.
 
@@ -44,6 +51,10 @@
         """Return the monotonic time in milliseconds."""
         return time.monotonic_ns() / 1e6
 
+    def boot(self):
+        """Return the time since the machine started in milliseconds."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / 1e6
+
     def wall(self):
         """Return milliseconds since 1970-01-01 UTC."""
         return time.time_ns() / 1e6
@@ -68,6 +79,10 @@
         """Return the current time of this clock in milliseconds."""
         return self._now
 
+    def boot(self):
+        """Return the same value as :meth:`now`."""
+        return self._now
+
     def wall(self):
         """Return the same value as :meth:`now`."""
         return self._now
--- a/src/monsoonline/core/fleet_messages.py
+++ b/src/monsoonline/core/fleet_messages.py
@@ -6,11 +6,14 @@
 
 from monsoonline.core.crashes import CrashReport
 from monsoonline.core.fleet import FleetMember, MemberAge
+from monsoonline.core.peer_reads import Reader
 from monsoonline.core.registrations import Registration, RegistrationDelta
 from monsoonline.core.upstream_limits import LimitObservation
 from monsoonline.types import LoadReport
 
 __all__ = [
+    "ClockReply",
+    "ClockRequest",
     "Heartbeat",
     "FailureNotice",
     "LimitAge",
@@ -33,8 +36,6 @@
 
     :param sender: the sending entry
     :param members: other members of its failure domain, with the age of each update
-    :param read_age_ms: age of the newest known read of the store, ``None`` if there
-        was none
     :param tables_revision: revision of the tables in effect
     :param registrations_revision: revision of the registrations in effect
     :param registrations_digest: digest of the registrations in effect
@@ -42,7 +43,6 @@
 
     sender: FleetMember
     members: tuple[MemberAge, ...]
-    read_age_ms: float | None
     tables_revision: int
     registrations_revision: int
     registrations_digest: str
@@ -53,13 +53,15 @@
     """Message to all entries after each successful read of the store.
 
     :param sender: the entry that read
-    :param read_age_ms: time since the read began
+    :param incarnation: number of the start of the sender
+    :param read_at: time in ms at which the read began, on the clock of the sender
     :param tables_revision: revision of the tables in the store
     :param delta: changes of the registrations that the read found
     """
 
     sender: FleetMember
-    read_age_ms: float
+    incarnation: int
+    read_at: float
     tables_revision: int
     delta: RegistrationDelta
 
@@ -226,6 +228,32 @@
     born_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ClockRequest:
+    """Request for the time on the clock of an entry that reads the store.
+
+    :param incarnation: number of the start of the sender, repeated in the reply
+    :param sent_at: time in ms on the clock of the sender, repeated in the reply
+    """
+
+    incarnation: int
+    sent_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ClockReply:
+    """Reply to a :class:`ClockRequest`.
+
+    :param request: the request
+    :param reader: the entry that replies
+    :param time: time in ms on its clock
+    """
+
+    request: ClockRequest
+    reader: Reader
+    time: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class OwnerCheck:
     """Message that checks whether another entry responds.
--- a/src/monsoonline/core/read_schedule.py
+++ b/src/monsoonline/core/read_schedule.py
@@ -16,10 +16,12 @@
 PERIOD_MS = 700.0
 # Exceeds the latency of an announcement between failure domains.
 RANK_DELAY_MS = 60.0
+# Ranks above it read at the same time, so that no entry in reach of the store goes
+# without a new read for more than 1.7 s, whatever it hears from others.
+MAX_RANK = 16
 # Added to the rank of an entry whose read failed. It still reads if no other does.
 FAILED_READ_RANK_PENALTY = 12
 FAILED_READ_PENALTY_MS = 4_000.0
-MAX_RANK = 24
 
 
 def read_rank(name, members):
@@ -39,6 +41,8 @@
 class ReadSchedule:
     """Determines when this entry reads from the store.
 
+    All times are in ms on a clock that also runs while the machine is suspended.
+
     :param name: name of the entry
     :param period_ms: time between two reads, in ms
     """
@@ -65,7 +69,9 @@
     def record_read(self, at):
         """Record a successful read by this or another entry.
 
-        :param at: time in ms at which the read started
+        Its result must be in effect at this entry.
+
+        :param at: time in ms at which the read started, or an earlier one
         """
         if self._read_at is None or at > self._read_at:
             self._read_at = at
--- a/src/monsoonline/entry/fleet_link.py
+++ b/src/monsoonline/entry/fleet_link.py
@@ -1,9 +1,11 @@
 """Messages between entries: heartbeats, read, load and failure notices, and states."""
 
 import contextlib
+import dataclasses
 import http.client
 import json
 import logging
+import math
 import random
 import socket
 import threading
@@ -20,6 +22,8 @@
 from monsoonline.background import start_task
 from monsoonline.core.fleet import LIVENESS_TIMEOUT_MS, MemberAge
 from monsoonline.core.fleet_messages import (
+    ClockReply,
+    ClockRequest,
     FailureNotice,
     Heartbeat,
     LoadNotice,
@@ -30,6 +34,7 @@
     ReadNotice,
     UpstreamFailure,
 )
+from monsoonline.core.peer_reads import PeerReads, Reader
 from monsoonline.core.recipient_selection import RecipientSelector
 from monsoonline.types import Answer
 
@@ -55,6 +60,7 @@
 RECEIVE_BUFFER_BYTES = 64 << 10
 # Longest wait of close() for the thread that receives messages.
 CLOSE_TIMEOUT_MS = 200.0
+INCARNATION_BITS = 32
 STATE_PATH = "/fleet/state"
 
 logger = logging.getLogger(__name__)
@@ -105,6 +111,8 @@
         # Handlers of messages to a single entry; they return the response, if any.
         self._handlers = {
             LoadNotice: on_loads,
+            ClockReply: self._handle_clock_reply,
+            ClockRequest: self._reply_time,
             OwnerCheck: permits.handle_check,
             PermitReply: permits.handle_reply,
             PermitRequest: permits.issue,
@@ -112,6 +120,8 @@
         }
         self._metrics = metrics
         self._recipient_selector = RecipientSelector(fleet=fleet)
+        self._incarnation = random.getrandbits(INCARNATION_BITS)
+        self._peer_reads = PeerReads()
         self._stopping = threading.Event()
         self._failures = []
         self._lock = threading.Lock()
@@ -143,15 +153,16 @@
         for member in self._fleet.others():
             self._send(member, heartbeat)
 
-    def send_read_notice(self, read_age_ms, delta):
+    def send_read_notice(self, read_at, delta):
         """Send the result of a read of the store to all entries.
 
-        :param read_age_ms: time in ms since the read began
+        :param read_at: time in ms at which the read began, of :meth:`Clock.boot`
         :param delta: :class:`monsoonline.core.registrations.RegistrationDelta`
         """
         notice = ReadNotice(
             sender=self._fleet.own,
-            read_age_ms=read_age_ms,
+            incarnation=self._incarnation,
+            read_at=read_at,
             tables_revision=self._state.tables_revision,
             delta=delta,
         )
@@ -161,13 +172,7 @@
             empty_delta = type(delta)(
                 revision=delta.revision, base="too-large", digest=delta.digest
             )
-            notice = ReadNotice(
-                sender=notice.sender,
-                read_age_ms=read_age_ms,
-                tables_revision=notice.tables_revision,
-                delta=empty_delta,
-            )
-            content = encode_datagram(notice)
+            content = encode_datagram(dataclasses.replace(notice, delta=empty_delta))
         for member in self._fleet.others():
             self._send(member, content)
 
@@ -242,6 +247,7 @@
                 "compression": TABLES_COMPRESSION,
             }
         )
+        requested_at = self._clock.boot()
         try:
             connection.connect()
             response = connection.exchange("GET", f"{STATE_PATH}?{query}").response
@@ -261,11 +267,13 @@
         now = self._clock.now()
         for item in copy.members:
             self._fleet.update(item.member, now=now, age_ms=item.age_ms)
-        self._record_read_age(copy.read_age_ms)
         self._gate.note_revision(copy.tables_revision)
         self._state.use_copy(copy)
-        if copy.read_age_ms is not None:
-            self._gate.note_read(now - copy.read_age_ms)
+        if copy.read_age_ms is not None and self._state.includes(
+            copy.tables_revision, copy.registrations_revision
+        ):
+            # The age was stated after the request, however late the response came.
+            self._record_read(requested_at - copy.read_age_ms)
         return True
 
     def _start_task(self, task):
@@ -288,24 +296,32 @@
                 continue
             if self._stopping.is_set():
                 return
-            self._metrics.count("fleet_messages_received_total")
-            try:
-                message = decode_datagram(content)
-            except ValueError as error:
-                self._metrics.count("fleet_messages_rejected_total")
-                logger.debug("message rejected", extra={"error": str(error)})
-                continue
-            host, port = address
-            self._fleet.note_message(f"{host}:{port}", self._clock.now())
-            try:
-                response = self._handle_message(message)
-            except Exception:
-                # The next message must not wait for the restart of the task.
-                self._count_failure()
-                logger.exception("unexpected error while handling a message")
-                continue
-            if response is not None:
-                self._send_to(address, encode_datagram(response))
+            self.receive(content, address)
+
+    def receive(self, content, address):
+        """Handle a received datagram, and send the response if it has one.
+
+        :param content: the datagram
+        :param address: host and port of its sender
+        """
+        self._metrics.count("fleet_messages_received_total")
+        try:
+            message = decode_datagram(content)
+        except ValueError as error:
+            self._metrics.count("fleet_messages_rejected_total")
+            logger.debug("message rejected", extra={"error": str(error)})
+            return
+        host, port = address
+        self._fleet.note_message(f"{host}:{port}", self._clock.now())
+        try:
+            response = self._handle_message(message)
+        except Exception:
+            # The next message must not wait for the restart of the task.
+            self._count_failure()
+            logger.exception("unexpected error while handling a message")
+            return
+        if response is not None:
+            self._send_to(address, encode_datagram(response))
 
     def _handle_message(self, message):
         """Handle a message; return the one to send back, ``None`` without one."""
@@ -325,13 +341,7 @@
         if isinstance(message, Heartbeat):
             self._handle_heartbeat(message, now)
         elif isinstance(message, ReadNotice):
-            self._record_read_age(message.read_age_ms)
-            self._gate.note_revision(message.tables_revision)
-            applied = self._state.use_delta(message.delta)
-            if applied:
-                self._gate.note_read(now - message.read_age_ms)
-            if not applied or message.tables_revision > self._state.tables_revision:
-                self._request_fetch(message.sender)
+            self._handle_read_notice(message)
         else:
             for failure in message.failures:
                 self._on_failure(failure.instance, failure.weight)
@@ -341,7 +351,6 @@
     def _handle_heartbeat(self, heartbeat, now):
         for item in heartbeat.members:
             self._fleet.update(item.member, now=now, age_ms=item.age_ms)
-        self._record_read_age(heartbeat.read_age_ms)
         self._gate.note_revision(heartbeat.tables_revision)
         state = self._state
         newer = heartbeat.registrations_revision > state.registrations_revision
@@ -349,9 +358,43 @@
         if heartbeat.tables_revision > state.tables_revision or (newer and differs):
             self._request_fetch(heartbeat.sender)
 
-    def _record_read_age(self, read_age_ms):
-        if read_age_ms is not None:
-            self._schedule.record_read(self._clock.now() - read_age_ms)
+    def _handle_read_notice(self, notice):
+        reader = Reader(name=notice.sender.name, incarnation=notice.incarnation)
+        self._gate.note_revision(notice.tables_revision)
+        applied = self._state.use_delta(notice.delta)
+        if not applied or notice.tables_revision > self._state.tables_revision:
+            self._request_fetch(notice.sender)
+        if applied and notice.tables_revision <= self._state.decided_revision:
+            self._peer_reads.note_read(reader, notice.read_at)
+            self._record_peer_reads()
+        now = self._clock.boot()
+        if self._peer_reads.take_request(reader, now):
+            request = ClockRequest(incarnation=self._incarnation, sent_at=now)
+            self.send(notice.sender, request)
+
+    def _reply_time(self, request):
+        reader = Reader(name=self._fleet.own.name, incarnation=self._incarnation)
+        return ClockReply(request=request, reader=reader, time=self._clock.boot())
+
+    def _handle_clock_reply(self, reply):
+        if reply.request.incarnation != self._incarnation:
+            return
+        self._peer_reads.note_exchange(
+            reply.reader,
+            sent_at=reply.request.sent_at,
+            peer_time=reply.time,
+            received_at=self._clock.boot(),
+        )
+        self._record_peer_reads()
+
+    def _record_peer_reads(self):
+        read_at = self._peer_reads.latest(self._clock.boot())
+        if read_at is not None:
+            self._record_read(read_at)
+
+    def _record_read(self, at):
+        self._schedule.record_read(at)
+        self._gate.note_read(at)
 
     # Fetching
 
@@ -406,7 +449,6 @@
             members=self._recipient_selector.members_for(
                 self._clock.now(), remote=remote
             ),
-            read_age_ms=self._read_age_ms(),
             tables_revision=self._state.tables_revision,
             registrations_revision=self._state.registrations_revision,
             registrations_digest=self._state.registrations_digest,
@@ -422,8 +464,8 @@
         )
 
     def _read_age_ms(self):
-        age_ms = self._schedule.read_age_ms(self._clock.now())
-        return None if age_ms is None else round(age_ms)
+        age_ms = self._schedule.read_age_ms(self._clock.boot())
+        return None if age_ms is None else math.ceil(age_ms)
 
     def _inform_newcomer(self, member, now):
         """Repeat the crashes to an entry that has just started, or was not heard."""
--- a/src/monsoonline/entry/fleet_service.py
+++ b/src/monsoonline/entry/fleet_service.py
@@ -322,7 +322,7 @@
         self._state.note_leaving(instance, born_ms)
 
     def _read_age_ms(self):
-        return self._schedule.read_age_ms(self._clock.now())
+        return self._schedule.read_age_ms(self._clock.boot())
 
     def _admit_until(self, deadline):
         self._lifecycle.admit_until(deadline)
@@ -381,12 +381,15 @@
         return response
 
     def _measure_use(self):
-        """Set the gauges of what callers use; only refused bodies are a sum."""
+        """Set the gauges of what is in use; only refused bodies are a sum."""
         self._metrics.gauge("caller_connections", self._callers.open_connections)
         self._metrics.gauge("requests_in_flight", self._callers.requests_in_flight)
         self._metrics.gauge("upstream_attempts_open", self._relay.open_attempts)
         self._metrics.gauge("request_body_bytes", self._callers.body_bytes)
         self._metrics.gauge("bodies_refused", self._callers.bodies_refused)
+        read_age_ms = self._read_age_ms()
+        if read_age_ms is not None:
+            self._metrics.gauge("store_read_age_ms", round(read_age_ms))
 
     def _handle_status_request(self, request):
         """Return the response to a readiness, discovery or metrics request."""
--- a/src/monsoonline/entry/shared_state.py
+++ b/src/monsoonline/entry/shared_state.py
@@ -70,6 +70,17 @@
         """Whether tables and registrations are known, as serving requests requires."""
         return bool(self._tables_revision and self._registrations.revision)
 
+    def includes(self, tables_revision, registrations_revision):
+        """Return whether a state of the store, or a newer one, is in effect.
+
+        :param tables_revision: revision of its tables, which may be invalid
+        :param registrations_revision: revision of its registrations
+        """
+        return (
+            tables_revision <= self.decided_revision
+            and registrations_revision <= self.registrations_revision
+        )
+
     def use_tables(self, revision, content, *, source="store"):
         """Apply stored tables if they are newer.
 
--- a/src/monsoonline/entry/start_gate.py
+++ b/src/monsoonline/entry/start_gate.py
@@ -21,6 +21,7 @@
         self._clock = clock
         self._state = state
         self._started_at = clock.now()
+        self._started_at_boot_time = clock.boot()
         self._read_at = float("-inf")
         self._heard_revision = 0
 
@@ -32,7 +33,7 @@
         if self._clock.now() - self._started_at >= START_LIMIT_MS:
             return True
         behind = self._heard_revision > self._state.decided_revision
-        return self._read_at >= self._started_at and not behind
+        return self._read_at >= self._started_at_boot_time and not behind
 
     def note_revision(self, revision):
         """Record the revision of tables that another entry has, or the store."""
@@ -43,6 +44,6 @@
 
         Tables may still have to be fetched; see :meth:`note_revision`.
 
-        :param at: clock time in ms at which the read began
+        :param at: time in ms at which the read began, of :meth:`Clock.boot`
         """
         self._read_at = max(self._read_at, at)
--- a/src/monsoonline/entry/store_reader.py
+++ b/src/monsoonline/entry/store_reader.py
@@ -100,16 +100,18 @@
 
     def _due_in_ms(self):
         """Return the time in ms until this entry reads; 0 or less means now."""
-        now = self._clock.now()
+        now = self._clock.boot()
         if self._state.complete:
-            return self._schedule.due_in_ms(now, self._fleet.live_names(now))
+            return self._schedule.due_in_ms(
+                now, self._fleet.live_names(self._clock.now())
+            )
         # An entry that cannot serve yet does not wait for its turn.
         if self._last_read_started_at is None:
             return 0.0
         return self._last_read_started_at + STARTUP_READ_INTERVAL_MS - now
 
     def _read(self):
-        started = self._last_read_started_at = self._clock.now()
+        started = self._last_read_started_at = self._clock.boot()
         self._schedule.record_attempt(started)
         try:
             stored = self._store.read(self._state.tables_revision)
@@ -119,11 +121,10 @@
                 self._outage_started_at = now
                 logger.warning("store not readable", extra={"error": str(error)})
             self._last_failure_at = now
-            self._schedule.record_failure(now)
+            self._schedule.record_failure(self._clock.boot())
             self._metrics.count("store_failures_total", call="read")
             return
         now = self._clock.now()
-        self._schedule.record_read(started)
         self._metrics.count("store_reads_total")
         if self._outage_started_at is not None:
             lost_ms = round(now - self._outage_started_at)
@@ -138,5 +139,9 @@
         delta = self._state.use_listing(
             stored.listing, now=now, ms_since_store_failure=ms_since_failure
         )
+        if stored.tables_revision > self._state.decided_revision:
+            # Others must not take a read for complete whose tables are not in effect.
+            return
+        self._schedule.record_read(started)
         self._gate.note_read(started)
-        self._link.send_read_notice(now - started, delta)
+        self._link.send_read_notice(started, delta)
--- a/tests/adapters/test_fleet_codec.py
+++ b/tests/adapters/test_fleet_codec.py
@@ -18,6 +18,8 @@
 from monsoonline.core.crashes import CrashReport
 from monsoonline.core.fleet import MemberAge
 from monsoonline.core.fleet_messages import (
+    ClockReply,
+    ClockRequest,
     FailureNotice,
     Heartbeat,
     LimitAge,
@@ -32,6 +34,7 @@
     UpstreamFailure,
     UpstreamLoad,
 )
+from monsoonline.core.peer_reads import Reader
 from monsoonline.core.registrations import RegistrationDelta
 from monsoonline.types import LoadReport
 from tests.core.test_fleet import member
@@ -49,7 +52,6 @@
             Heartbeat(
                 sender=member("a", ready=True),
                 members=(MemberAge(member=member("b", leaving=True), age_ms=250.0),),
-                read_age_ms=120.0,
                 tables_revision=7,
                 registrations_revision=9,
                 registrations_digest="abc",
@@ -60,7 +62,8 @@
         self.assert_round_trip(
             ReadNotice(
                 sender=member("a"),
-                read_age_ms=5.0,
+                incarnation=77,
+                read_at=5.0,
                 tables_revision=3,
                 delta=RegistrationDelta(
                     revision=12,
@@ -72,6 +75,12 @@
             )
         )
 
+    def test_clock_request_and_reply(self):
+        request = ClockRequest(incarnation=77, sent_at=5.0)
+        reader = Reader(name="a", incarnation=78)
+        self.assert_round_trip(request)
+        self.assert_round_trip(ClockReply(request=request, reader=reader, time=9.0))
+
     def test_load_notice(self):
         report = LoadReport(in_flight=1, queued=2, slots=3, pace=7.0)
         load = UpstreamLoad(instance="i1", report=report)
@@ -172,7 +181,6 @@
         Heartbeat(
             sender=sender,
             members=(MemberAge(member=member("b"), age_ms=250.0),),
-            read_age_ms=120.0,
             tables_revision=7,
             registrations_revision=9,
             registrations_digest="abc",
@@ -195,7 +203,8 @@
         ),
         ReadNotice(
             sender=sender,
-            read_age_ms=5.0,
+            incarnation=77,
+            read_at=5.0,
             tables_revision=7,
             delta=RegistrationDelta(
                 revision=9,
@@ -205,6 +214,12 @@
                 removed=("i2",),
             ),
         ),
+        ClockRequest(incarnation=77, sent_at=5.0),
+        ClockReply(
+            request=ClockRequest(incarnation=77, sent_at=5.0),
+            reader=Reader(name="a", incarnation=78),
+            time=9.0,
+        ),
         PermitRequest(number=1, instance="i1", born_ms=5, rank=0, observed=observed),
         PermitReply(
             number=1, result=PermitResult.ISSUED, tokens=1.0, observed=observed
