Use an upstream once it has said that it is healthy

Cause: a registration that has appeared was taken for a current one. The store had performed a lost heartbeat of an upstream that had left without a report, and a 503 of the health path was only a cost, so that the upstream was chosen while the others were full.

Change: an upstream gets requests from an entry once it has said, since it was registered, on its health path and under its own id, that it is healthy. Where no upstream of a pool has said so, all are used. One that seems unhealthy later is used as before.

Two of the tests of TestUnconfirmedUpstreams failed on the code before. No call is added: each attempt follows a probe on the same connection.

--- a/src/monsoonline/core/upstream_view.py
+++ b/src/monsoonline/core/upstream_view.py
@@ -56,6 +56,7 @@
     __slots__ = (
         "_failures",
         "_failures_at",
+        "confirmed",
         "in_flight",
         "limit",
         "limit_logged_at",
@@ -65,6 +66,7 @@
         "registration",
         "report",
         "reported_at",
+        "responded_at",
         "slowdown",
     )
 
@@ -73,6 +75,10 @@
         self.in_flight = 0
         # Whether its address responded with the id of another upstream.
         self.misdirected = False
+        # Whether it has said in response to a probe that it is healthy.
+        self.confirmed = False
+        # Time of its last response to a probe.
+        self.responded_at = float("-inf")
         # The last load report, for the fields that change within moments.
         self.report = None
         self.reported_at = float("-inf")
@@ -124,6 +130,7 @@
         self._pool_slowdown = PoolSlowdown()
         # Whether upstreams report their load, ``None`` until the first response.
         self.reports_load = None
+        self._any_confirmed = False
 
     @property
     def states(self):
@@ -143,6 +150,7 @@
             known.registration = registration
             states[registration.instance] = known
         self._states = states
+        self._any_confirmed = any(state.confirmed for state in states.values())
 
     def usable(self, excluded=frozenset()):
         """Return the states that may take a request.
@@ -197,6 +205,26 @@
         )
         return ordered
 
+    def record_health(self, state, healthy):
+        """Record what an upstream says of its health in response to a probe.
+
+        :param state: its :class:`UpstreamState`
+        :param healthy: whether it has said so, under its own id
+        """
+        if healthy:
+            state.confirmed = True
+            self._any_confirmed = True
+
+    def is_confirmed(self, state):
+        """Return whether the registration of an upstream is known to be current.
+
+        The store may perform a write late, so a registration may appear again after its
+        upstream has left. An upstream is therefore used once it has said that it is
+        healthy, unless no upstream of the pool has said so. Later it may seem unhealthy
+        by mistake.
+        """
+        return state.confirmed or not self._any_confirmed
+
     def record_report(self, state, report, now):
         """Record a :class:`monsoonline.types.LoadReport` of an upstream."""
         state.report = report
--- a/src/monsoonline/entry/placer.py
+++ b/src/monsoonline/entry/placer.py
@@ -354,6 +354,7 @@
         """
         if served.view.hold_ms(state):
             return True
+        started = self._clock.now()
         probed = self._prober.probe_upstreams(
             served.view,
             [self._prober.open_probe(state)],
@@ -362,7 +363,8 @@
         )
         for item in probed:
             self._sessions.check_in(item.session)
-        return bool(probed) or not is_wanted(served.view, state)
+        responded = bool(probed) or state.responded_at >= started
+        return responded or not is_wanted(served.view, state)
 
     def refusal(self, message, code, retry_after_ms=None):
         """Return the refusal of a request that has not run."""
--- a/src/monsoonline/entry/prober.py
+++ b/src/monsoonline/entry/prober.py
@@ -278,6 +278,7 @@
 
     def _read_result(self, pending, view, response):
         state = pending.state
+        state.responded_at = self._clock.now()
         instance = response.header(self._names.instance)
         if response.status == MISDIRECTED_STATUS or (
             instance is not None and instance != state.registration.instance
@@ -293,11 +294,17 @@
         if report is not None:
             view.record_report(state, report, self._clock.now())
         self._limits.read(state, response, sent_at=pending.sent_at)
+        healthy = response.status == HEALTHY_STATUS
+        view.record_health(state, healthy and instance is not None)
+        if not view.is_confirmed(state):
+            self._metrics.count("unconfirmed_upstreams_probed_total")
+            self._sessions.check_in(pending.session)
+            return None
         probe_result = ProbeResult(
             state=state,
             report=report,
             local=view.is_local(state),
-            healthy=response.status == HEALTHY_STATUS,
+            healthy=healthy,
             slowdown=view.slowdown_of(state, self._clock.now()),
         )
         return ProbedUpstream(probe_result=probe_result, session=pending.session)
--- a/tests/entry/test_placed_relay.py
+++ b/tests/entry/test_placed_relay.py
@@ -532,6 +532,75 @@
         self.assertEqual(refusal.outcome, Outcome.NOT_RUN)
 
 
+class TestUnconfirmedUpstreams(RelayTest):
+    """An upstream is used once it has said that it is healthy."""
+
+    FULL = "3,9,3,1.0"
+
+    def setUp(self):
+        super().setUp()
+        self.removed, self.other = Target("i1"), Target("i2", load=self.FULL)
+        self.relay = self.relay_to(self.removed, self.other)
+        for _ in range(3):
+            self.relay.handle(self.request())
+
+    def register_late(self):
+        """Remove a target, then let a late heartbeat register it again."""
+        self.register(self.relay, self.other)
+        self.register(self.relay, self.removed, self.other)
+        self.removed.executed.clear()
+
+    def test_late_heartbeat_brings_back_a_removed_target_that_says_503(self):
+        """Guards against requests to a target that was removed without a report.
+
+        A health path that said 503 was only a cost, so the target was used again while
+        the others were full.
+        """
+        self.assertGreater(len(self.removed.executed), 0)
+        self.removed.probe_status = 503
+        self.register_late()
+        for _ in range(5):
+            self.assertEqual(self.relay.handle(self.request()).status, 200)
+        self.assertEqual(self.removed.executed, [])
+        self.assertEqual(len(self.other.executed), 5)
+
+    def test_sound_target_that_is_registered_again_is_used_after_its_first_200(self):
+        """Guards against targets that a failure of the store takes out of use."""
+        self.removed.probe_status = 503
+        self.register_late()
+        self.relay.handle(self.request())
+        self.removed.probe_status = 200
+        self.relay.handle(self.request())
+        self.assertEqual(len(self.removed.executed), 1)
+
+    def test_confirmed_target_that_seems_unhealthy_is_used(self):
+        """Guards against sound targets without requests after a false health report."""
+        self.removed.executed.clear()
+        self.removed.probe_status = 503
+        self.relay.handle(self.request())
+        self.assertEqual(len(self.removed.executed), 1)
+
+    def test_targets_without_a_health_report_are_used(self):
+        """Guards against a pool out of use because its health path is not served."""
+        targets = [Target("i1"), Target("i2")]
+        for target in targets:
+            target.probe_status = 404
+        relay = self.relay_to(*targets)
+        for _ in range(3):
+            self.assertEqual(relay.handle(self.request()).status, 200)
+
+    def test_targets_that_replace_all_others_are_used_without_a_health_report(self):
+        """Guards against a pool out of use after a change of its health path."""
+        target = Target("i3")
+        target.probe_status = 404
+        self.addCleanup(target.close)
+        self.register(self.relay, self.other, target)
+        self.relay.handle(self.request())
+        self.assertEqual(target.executed, [])
+        self.register(self.relay, target)
+        self.assertEqual(self.relay.handle(self.request()).status, 200)
+
+
 class TestLeavingUpstreams(RelayTest):
     """An upstream that says in a response that it leaves gets nothing more."""
 
