Keep blocked requests in the store

Cause: what was known of crashes lay in the memory of the entries only. Reports of crashes also waited up to 150 ms for the next notice, so that a repeat reached an entry that knew nothing, and a request that had just become blocked was still repeated.

Change: one row of the store keeps blocked requests, with ages on the store's clock. An entry writes what it has observed itself, under a condition, and reads the row at its start before it serves. Reports of crashes go to all entries before the request gets its answer. A blocked request is not repeated, and a suspected one gets no hedge.

It works because every entry has been told before a caller can repeat the request, and what is written outlives all entries. One read for each start of an entry and two calls for each crash of a blocked request are added.

--- a/src/monsoonline/core/checked_fields.py
+++ b/src/monsoonline/core/checked_fields.py
@@ -11,7 +11,14 @@
 
 from monsoonline.errors import Finding, FindingsError
 
-__all__ = ["MAX_INTEGER", "CheckedFields", "is_address", "is_number", "is_text"]
+__all__ = [
+    "MAX_INTEGER",
+    "CheckedFields",
+    "is_address",
+    "is_number",
+    "is_text",
+    "parse_time_ms",
+]
 
 # Programs print computed numbers with up to 17 digits, or with an exponent.
 DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?(?:[eE][+-]?[0-9]+)?)(ms|s)")
@@ -26,11 +33,17 @@
 
 def parse_duration_ms(text):
     """Return a duration such as ``2.5s`` in ms, ``None`` if it is not valid."""
+    time_ms = parse_time_ms(text)
+    return None if time_ms is None else min(MAX_DURATION_MS, time_ms)
+
+
+def parse_time_ms(text):
+    """Return a time such as ``51230ms`` in ms, ``None`` if it is not valid."""
     match = DURATION.fullmatch(text)
     if match is None:
         return None
-    duration_ms = float(match[1]) * UNIT_MS[match[2]]
-    return min(MAX_DURATION_MS, duration_ms) if math.isfinite(duration_ms) else None
+    time_ms = float(match[1]) * UNIT_MS[match[2]]
+    return time_ms if math.isfinite(time_ms) else None
 
 
 class CheckedFields:
@@ -78,6 +91,16 @@
         """Return a field that is a non-empty string."""
         return self._field(name, default, "", is_text, "a non-empty string")
 
+    def texts(self, name):
+        """Return a field that is a list of non-empty strings."""
+        return self._field(
+            name,
+            MISSING,
+            [],
+            lambda v: isinstance(v, list) and all(map(is_text, v)),
+            "a list of non-empty strings",
+        )
+
     def address(self, name, *, default=MISSING):
         """Return a field that is an IPv4 address with a port."""
         return self._field(
--- a/src/monsoonline/core/crashes.py
+++ b/src/monsoonline/core/crashes.py
@@ -15,7 +15,13 @@
 from monsoonline.core.checked_fields import is_number
 from monsoonline.core.strict_json import parse_strict_json
 
-__all__ = ["CrashReport", "CrashTracker"]
+__all__ = [
+    "MAX_RECORDED_INCIDENTS",
+    "MAX_RECORDED_REPORTS",
+    "CrashReport",
+    "CrashTracker",
+    "merge_reports",
+]
 
 CRASHES_TO_BLOCK = 2
 # A caller may resend as soon as it has the error response. The delay covers the time
@@ -29,6 +35,9 @@
 LATER_TRIAL_DELAY_MS = 180_000.0
 MAX_FINGERPRINTS = 4_096
 MAX_INCIDENTS = 4
+# Limits of what is kept in the store, 20 KB at most.
+MAX_RECORDED_REPORTS = 32
+MAX_RECORDED_INCIDENTS = 16
 # A request that completed within this time before a crash is not suspected of it.
 COMPLETION_LIFETIME_MS = 60_000.0
 # Connections of one upstream lost within this time count as one crash.
@@ -75,6 +84,20 @@
         """Time since the newest crash or completion that it contains, in ms."""
         return self._age_ms
 
+    @property
+    def blocks(self):
+        """Whether a request with these crashes is refused."""
+        return len(self._incidents - self._cleared) >= CRASHES_TO_BLOCK
+
+    def merged_with(self, other):
+        """Return the report with the crashes and clearings of both."""
+        return CrashReport(
+            fingerprint=self._fingerprint,
+            incidents=self._incidents | other.incidents,
+            cleared=self._cleared | other.cleared,
+            age_ms=min(self._age_ms, other.age_ms),
+        )
+
     def encode(self):
         """Return the payload of the shared item, at most 512 bytes."""
         document = {
@@ -117,6 +140,25 @@
         )
 
 
+def merge_reports(stored, changed):
+    """Return the reports to keep of those in the store and those that have changed.
+
+    Reports that block come first, then the newest, up to a limit. Those that block no
+    more are kept as well, since another entry may still hold the crashes.
+
+    :param stored: :class:`CrashReport` items in the store
+    :param changed: :class:`CrashReport` items to add
+    """
+    merged = {r.fingerprint: r for r in stored if r.age_ms <= SUSPECT_LIFETIME_MS}
+    for report in changed:
+        known = merged.get(report.fingerprint)
+        merged[report.fingerprint] = (
+            report if known is None else known.merged_with(report)
+        )
+    ordered = sorted(merged.values(), key=lambda r: (not r.blocks, r.age_ms))
+    return tuple(ordered[:MAX_RECORDED_REPORTS])
+
+
 def is_duration(value):
     """Return whether a JSON value is a time in ms for which a report is kept."""
     return is_number(value) and 0 <= value <= SUSPECT_LIFETIME_MS
@@ -125,11 +167,13 @@
 class SuspectedRequest:
     """Crashes during which a request was in flight."""
 
-    __slots__ = ("cleared", "incidents", "tried_at", "updated_at")
+    __slots__ = ("cleared", "incidents", "observed", "tried_at", "updated_at")
 
     def __init__(self):
         self.incidents = set()
         self.cleared = set()
+        # Whether one of the crashes was observed by this entry.
+        self.observed = False
         self.updated_at = float("-inf")
         self.tried_at = float("-inf")
 
@@ -144,9 +188,12 @@
 
     :param clock: time source
     :param owner: id of the incarnation of this entry
+    :param on_change: called after a change that others have to know, in the thread of
+        the request that caused it and before the request goes on
     """
 
-    def __init__(self, *, clock, owner):
+    def __init__(self, *, clock, owner, on_change=lambda: None):
+        self._on_change = on_change
         self._clock = clock
         self._owner = owner
         self._lock = threading.Lock()
@@ -156,6 +203,8 @@
         self._incidents = {}
         self._incident_count = 0
         self._unshared = []
+        # Fingerprints of blocked requests to write to the store, in order.
+        self._unrecorded = {}
 
     def started(self, address, fingerprint):
         """Record that a request was sent to an upstream."""
@@ -180,9 +229,14 @@
                 self._completed.popitem(last=False)
             suspect = self._suspects.get(fingerprint)
             if suspect is not None and suspect.uncleared_count:
+                if suspect.uncleared_count >= CRASHES_TO_BLOCK:
+                    self._unrecorded[fingerprint] = None
                 suspect.cleared |= suspect.incidents
                 suspect.updated_at = self._clock.now()
                 self._unshared.append(fingerprint)
+            else:
+                return
+        self._on_change()
 
     def connection_lost(self, address, fingerprint):
         """Record a lost connection and suspect all requests at the upstream.
@@ -199,8 +253,9 @@
                 # A request that completed recently is not the cause.
                 completed_at = self._completed.get(suspect, -COMPLETION_LIFETIME_MS)
                 if now - completed_at >= COMPLETION_LIFETIME_MS:
-                    self._merge(suspect, {incident}, set(), now)
+                    self._merge(suspect, {incident}, set(), now, observed=True)
                     self._unshared.append(suspect)
+        self._on_change()
 
     def blocked(self, fingerprint):
         """Return whether a request must be refused as a poison request."""
@@ -252,6 +307,22 @@
                 if fingerprint in self._suspects
             )
 
+    def take_unrecorded(self):
+        """Return the reports of blocked requests that the store lacks.
+
+        Only what this entry has observed itself: a crash while the request was running,
+        or a completion after it.
+        """
+        with self._lock:
+            fingerprints, self._unrecorded = self._unrecorded, {}
+            return self._reports(f for f in fingerprints if f in self._suspects)
+
+    def restore_unrecorded(self, reports):
+        """Return the reports with the next call again, as they are then."""
+        with self._lock:
+            known = {report.fingerprint: None for report in reports}
+            self._unrecorded = known | self._unrecorded
+
     def latest_reports(self, count):
         """Return the reports of the most recently suspected requests.
 
@@ -285,6 +356,9 @@
                 report.cleared,
                 self._clock.now() - report.age_ms,
             )
+            unrecorded = bool(self._unrecorded)
+        if unrecorded:
+            self._on_change()
 
     def _reports(self, fingerprints):
         now = self._clock.now()
@@ -309,21 +383,27 @@
         self._incidents[address] = (incident, now)
         return incident
 
-    def _merge(self, fingerprint, incidents, cleared, at):
+    def _merge(self, fingerprint, incidents, cleared, at, *, observed=False):
         """Add crashes and clearings, the newest of which happened at a time.
 
         What is known already does not prolong the suspicion, although entries repeat
         their reports.
+
+        :param observed: whether this entry has observed the crashes
         """
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             suspect = self._suspects[fingerprint] = SuspectedRequest()
             if len(self._suspects) > MAX_FINGERPRINTS:
                 self._suspects.popitem(last=False)
-        if not (incidents <= suspect.incidents and cleared <= suspect.cleared):
-            suspect.updated_at = max(suspect.updated_at, at)
+        suspect.observed = suspect.observed or observed
+        if incidents <= suspect.incidents and cleared <= suspect.cleared:
+            return
+        suspect.updated_at = max(suspect.updated_at, at)
         suspect.incidents |= incidents
         suspect.cleared |= cleared
+        if suspect.observed and suspect.uncleared_count >= CRASHES_TO_BLOCK:
+            self._unrecorded[fingerprint] = None
 
     def _remove_running(self, address, fingerprint):
         running = self._running.get(address)
--- a/src/monsoonline/entry/fleet_link.py
+++ b/src/monsoonline/entry/fleet_link.py
@@ -176,6 +176,21 @@
         for member in self._fleet.others():
             self._send(member, content)
 
+    def send_crashes(self):
+        """Send the crash reports that are new to all entries.
+
+        Every entry must refuse a poison request, also those of other failure domains
+        that were not heard lately. A caller may resend it as soon as it has failed, so
+        this must not wait for the next notice of failures.
+        """
+        reports = self._crashes.take_reports()
+        if not reports:
+            return
+        notice = FailureNotice(sender=self._fleet.own, failures=(), crashes=reports)
+        content = encode_datagram(notice)
+        for member in self._fleet.others():
+            self._send(member, content)
+
     def send(self, member, message):
         """Send a message to one member."""
         self._send(member, encode_datagram(message))
@@ -487,28 +502,19 @@
         while not self._stopping.wait(FAILURE_NOTICE_INTERVAL_MS / 1e3):
             with self._lock:
                 failures, self._failures = tuple(self._failures), []
-            reports = self._crashes.take_reports()
+            self.send_crashes()
             now = self._clock.now()
             if now - repeated_at >= CRASH_REPEAT_INTERVAL_MS:
                 repeated_at = now
                 alive = self._fleet.alive(now)
                 count = min(CRASH_REPEAT_RECIPIENTS, len(alive))
                 self._repeat_crashes(random.sample(alive, count))
-            if not failures and not reports:
+            if not failures:
                 continue
             content = encode_datagram(
-                FailureNotice(
-                    sender=self._fleet.own, failures=failures, crashes=reports
-                )
-            )
-            # Every entry must refuse a poison request, so crash reports go to all, also
-            # to those of other failure domains that were not heard lately.
-            recipients = (
-                self._fleet.others()
-                if reports
-                else self._recipient_selector.failure_recipients(now)
+                FailureNotice(sender=self._fleet.own, failures=failures)
             )
-            for member in recipients:
+            for member in self._recipient_selector.failure_recipients(now):
                 self._send(member, content)
 
     def _send(self, member, content):
--- a/src/monsoonline/entry/fleet_service.py
+++ b/src/monsoonline/entry/fleet_service.py
@@ -18,6 +18,7 @@
 from monsoonline.core.fleet import Fleet, FleetMember
 from monsoonline.core.header_names import HeaderNames
 from monsoonline.core.read_schedule import ReadSchedule
+from monsoonline.entry.crash_recorder import CrashRecorder
 from monsoonline.entry.fleet_link import FleetLink
 from monsoonline.entry.lifecycle import EntryState, Lifecycle, StopTimes
 from monsoonline.entry.placed_relay import PlacedRelay
@@ -113,7 +114,9 @@
                 peer_address=listeners.peers,
             )
         )
-        self._crashes = CrashTracker(clock=self._clock, owner=settings.name)
+        self._crashes = CrashTracker(
+            clock=self._clock, owner=settings.name, on_change=self._share_crashes
+        )
         self._sessions = SessionPool(clock=self._clock, names=dialect.names)
         self._callers = self._make_server(
             self._handle_caller,
@@ -173,6 +176,9 @@
             gate=self._gate,
             metrics=self._metrics,
         )
+        self._recorder = CrashRecorder(
+            store=store, crashes=self._crashes, gate=self._gate, metrics=self._metrics
+        )
         self._auxiliary_servers = self._make_auxiliary_servers()
         self._lifecycle = self._make_lifecycle()
 
@@ -202,6 +208,7 @@
         for server in (self._callers, *self._auxiliary_servers):
             server.start()
         self._reader.start()
+        self._recorder.start()
         for task in (self._wait_for_state, self._refresh_limits):
             start_task(task, stopping=self._stopping, on_error=self._count_failure)
 
@@ -250,6 +257,7 @@
         """Stop serving immediately."""
         self._stopping.set()
         self._reader.close()
+        self._recorder.close()
         self._link.close()
         for server in (self._callers, *self._auxiliary_servers):
             server.close()
@@ -330,6 +338,10 @@
     def _queue_failure(self, instance, weight):
         self._link.queue_failure(instance, weight)
 
+    def _share_crashes(self):
+        self._link.send_crashes()
+        self._recorder.wake()
+
     def _send_message(self, member, message):
         self._link.send(member, message)
 
--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -463,6 +463,7 @@
             and not task.caller_left
             and task.attempts_left > 0
             and now < task.deadline
+            and not self._crashes.blocked(task.fingerprint)
         )
         if may_place and task.pool.retry_budget.try_acquire(
             now, entries=self._entries()
@@ -490,7 +491,11 @@
 
     def _hedge(self, task):
         """Start a hedge if it is worth its cost, or postpone the decision."""
-        if task.attempts_left < 1 or not task.open_attempts:
+        if (
+            task.attempts_left < 1
+            or not task.open_attempts
+            or self._crashes.suspected(task.fingerprint)
+        ):
             task.hedge_timer = None
             return
         now = self._clock.now()
--- a/src/monsoonline/entry/start_gate.py
+++ b/src/monsoonline/entry/start_gate.py
@@ -24,6 +24,7 @@
         self._started_at_boot_time = clock.boot()
         self._read_at = float("-inf")
         self._heard_revision = 0
+        self._crashes_known = False
 
     @property
     def open(self):
@@ -33,7 +34,15 @@
         if self._clock.now() - self._started_at >= START_LIMIT_MS:
             return True
         behind = self._heard_revision > self._state.decided_revision
-        return self._read_at >= self._started_at_boot_time and not behind
+        return (
+            self._crashes_known
+            and self._read_at >= self._started_at_boot_time
+            and not behind
+        )
+
+    def note_crashes_known(self):
+        """Record that the requests that the store keeps as blocked are known here."""
+        self._crashes_known = True
 
     def note_revision(self, revision):
         """Record the revision of tables that another entry has, or the store."""
--- a/src/monsoonline/platform/documents.py
+++ b/src/monsoonline/platform/documents.py
@@ -3,6 +3,7 @@
 import json
 
 from monsoonline.core.checked_fields import CheckedFields
+from monsoonline.core.crashes import MAX_RECORDED_INCIDENTS, CrashReport
 from monsoonline.core.fleet import FleetMember
 from monsoonline.core.model import (
     CallerLimits,
@@ -21,13 +22,16 @@
 
 __all__ = [
     "TablesDecoder",
+    "decode_crashes",
     "decode_member",
     "decode_registration",
     "decode_tables",
+    "encode_crashes",
     "encode_member",
 ]
 
 CONFIGURATION_PLACE = "op/config"
+CRASHES_PLACE = "crashes"
 # Value of a route's ``kind`` whose requests may run more than once.
 IDEMPOTENT_KIND = "safe"
 TARGET_STATES = ("ready", "draining")
@@ -200,6 +204,45 @@
     return registration
 
 
+def encode_crashes(reports, now_ms):
+    """Return the bytes of the row of requests that crash upstreams.
+
+    :param reports: :class:`monsoonline.core.crashes.CrashReport` items
+    :param now_ms: time on the clock of the store
+    """
+    requests = [
+        {
+            "fingerprint": report.fingerprint,
+            "incidents": sorted(report.incidents)[:MAX_RECORDED_INCIDENTS],
+            "cleared": sorted(report.cleared)[:MAX_RECORDED_INCIDENTS],
+            "at": round(now_ms - report.age_ms),
+        }
+        for report in reports
+    ]
+    return json.dumps({"requests": requests}).encode()
+
+
+def decode_crashes(content, now_ms):
+    """Return the :class:`monsoonline.core.crashes.CrashReport` items of the row.
+
+    :param content: the bytes as stored
+    :param now_ms: time on the clock of the store; a later one in the row counts as now
+    :raises FindingsError: if the row is invalid
+    """
+    fields = CheckedFields(parse_json(content, CRASHES_PLACE), place=CRASHES_PLACE)
+    reports = tuple(
+        CrashReport(
+            fingerprint=request.string("fingerprint"),
+            incidents=request.texts("incidents"),
+            cleared=request.texts("cleared"),
+            age_ms=max(0.0, now_ms - request.number("at", minimum=-float("inf"))),
+        )
+        for request in fields.children("requests")
+    )
+    fields.finish()
+    return reports
+
+
 def encode_member(member):
     """Return the bytes of an entry's row."""
     return json.dumps(
--- a/src/monsoonline/platform/store.py
+++ b/src/monsoonline/platform/store.py
@@ -11,11 +11,15 @@
 import urllib.parse
 
 from monsoonline.adapters.bounded_connection import BoundedConnection
+from monsoonline.core.checked_fields import parse_time_ms
+from monsoonline.core.crashes import merge_reports
 from monsoonline.core.registrations import Listing
 from monsoonline.errors import FindingsError, StoreUnavailable
 from monsoonline.platform.documents import (
+    decode_crashes,
     decode_member,
     decode_registration,
+    encode_crashes,
     encode_member,
 )
 from monsoonline.ports import StoredState
@@ -33,6 +37,8 @@
 CONFIGURATION_KEY = "config"
 TARGETS_TABLE = "servers"
 ENTRIES_TABLE = "monsoonline-entries"
+CRASHES_TABLE = "monsoonline-crashes"
+CRASHES_KEY = "requests"
 HTTP_OK = 200
 PAGE_ROWS = 500
 MAX_LOGGED_ROWS = 5
@@ -142,6 +148,7 @@
     def __init__(self, *, address, timeout_ms=CALL_TIMEOUT_MS):
         self._read_connection = StoreConnection(address=address, timeout_ms=timeout_ms)
         self._join_connection = StoreConnection(address=address, timeout_ms=timeout_ms)
+        self._crash_connection = StoreConnection(address=address, timeout_ms=timeout_ms)
         # Invalid rows of the last read by table.
         self._skipped = {}
 
@@ -149,6 +156,7 @@
         """Close the connections."""
         self._read_connection.close()
         self._join_connection.close()
+        self._crash_connection.close()
 
     def join(self, member):
         """Register this entry and return all registered entries.
@@ -169,6 +177,48 @@
         self._join_connection.close()
         return self._decode_rows(ENTRIES_TABLE, rows, decode_member)
 
+    def read_crashes(self):
+        """Return what is kept of requests that crash upstreams.
+
+        :returns: :class:`monsoonline.core.crashes.CrashReport` items
+        :raises StoreUnavailable: if the call failed
+        """
+        reports, _, _ = self._read_crashes()
+        self._crash_connection.close()
+        return reports
+
+    def record_crashes(self, reports):
+        """Merge reports into what is kept of requests that crash upstreams.
+
+        :param reports: :class:`monsoonline.core.crashes.CrashReport` items
+        :raises StoreUnavailable: if a call failed, or another entry has written
+            meanwhile; the call can be repeated
+        """
+        stored, version, now_ms = self._read_crashes()
+        content = encode_crashes(merge_reports(stored, reports), now_ms)
+        row = {"table": CRASHES_TABLE, "part": "", "key": CRASHES_KEY}
+        document = {
+            "expected_revision": [row | {"ver": version}],
+            "put": [row | {"value": base64.b64encode(content).decode()}],
+            "remove": [],
+        }
+        self._crash_connection.call("POST", "/-/rows-tx", document=document)
+        self._crash_connection.close()
+
+    def _read_crashes(self):
+        """Return the reports, the version of their row and the time of the store."""
+        page = self._crash_connection.call(
+            "GET", "/-/rows-get", query=query_of(CRASHES_TABLE, CRASHES_KEY)
+        )
+        now_ms = parse_time_ms(str(page.get("now"))) or 0.0
+        rows = [row for row in page["rows"] if row["key"] == CRASHES_KEY]
+        if not rows:
+            return (), 0, now_ms
+        decoded = self._decode_rows(
+            CRASHES_TABLE, rows, lambda _, content: decode_crashes(content, now_ms)
+        )
+        return (decoded[0] if decoded else ()), rows[0]["ver"], now_ms
+
     def read(self, tables_revision):
         """Return the configuration, if it is newer, and all targets.
 
@@ -199,9 +249,7 @@
         :param key: key of the only row to read, all rows if empty
         """
         rows = []
-        query = {"table": table, "part": "", "limit": PAGE_ROWS}
-        if key:
-            query |= {"from": key, "to": key + "\0"}
+        query = query_of(table, key)
         revision = None
         while True:
             page = connection.call("GET", "/-/rows-get", query=query)
@@ -248,6 +296,15 @@
         self._skipped[table] = skipped
 
 
+def query_of(table, key=""):
+    """Return the query for rows of a table.
+
+    :param key: key of the only row to read, all rows if empty
+    """
+    query = {"table": table, "part": "", "limit": PAGE_ROWS}
+    return query | {"from": key, "to": key + "\0"} if key else query
+
+
 def decode_value(row):
     """Return the bytes of a row's value, empty if they cannot be decoded."""
     try:
--- a/src/monsoonline/ports.py
+++ b/src/monsoonline/ports.py
@@ -3,6 +3,7 @@
 import dataclasses
 from typing import Protocol, runtime_checkable
 
+from monsoonline.core.crashes import CrashReport
 from monsoonline.core.fleet import FleetMember
 from monsoonline.core.model import Tables, Upstream
 from monsoonline.core.registrations import Listing
@@ -193,6 +194,12 @@
     def join(self, member: FleetMember) -> tuple[FleetMember, ...]:
         """Add an entry to the list of entries and return the list."""
 
+    def read_crashes(self) -> tuple[CrashReport, ...]:
+        """Return what is kept of requests that crash upstreams."""
+
+    def record_crashes(self, reports: tuple[CrashReport, ...]) -> None:
+        """Merge reports into what is kept of requests that crash upstreams."""
+
     def read(self, tables_revision: int) -> StoredState:
         """Return all registrations, and the tables if newer than a revision.
 
--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -4,7 +4,12 @@
 import unittest
 
 from monsoonline.clock import ManualClock
-from monsoonline.core.crashes import CrashReport, CrashTracker
+from monsoonline.core.crashes import (
+    MAX_RECORDED_REPORTS,
+    CrashReport,
+    CrashTracker,
+    merge_reports,
+)
 from monsoonline.errors import Refusal
 from monsoonline.types import AttemptKind
 from tests.core.decision_fixtures import (
@@ -76,6 +81,53 @@
             self.assertTrue(tracker.blocked("bad"))
             self.assertFalse(tracker.take_trial("bad", is_owner=lambda f: True))
 
+    def test_entries_that_observed_the_crashes_record_the_blocked_request(self):
+        """Guards against one write of each entry for each crash."""
+        first, second, third = self.trackers
+        self.crash(first, "a:1", "bad")
+        self.share(first)
+        self.assertEqual(first.take_unrecorded(), ())
+        self.crash(second, "b:1", "bad")
+        self.share(second)
+        for tracker in (first, second):
+            (report,) = tracker.take_unrecorded()
+            self.assertTrue(report.blocks)
+            self.assertEqual(tracker.take_unrecorded(), ())
+        self.assertEqual(third.take_unrecorded(), ())
+        tracker.restore_unrecorded((report,))
+        self.assertEqual(len(tracker.take_unrecorded()), 1)
+
+    def test_completion_of_a_blocked_request_is_recorded(self):
+        """Guards against a harmless request that is blocked after each restart."""
+        first, _, third = self.trackers
+        for address in ("a:1", "b:1"):
+            self.crash(first, address, "harmless")
+        self.share(first)
+        stored = merge_reports((), first.take_unrecorded())
+        third.started("c:1", "harmless")
+        third.finished("c:1", "harmless", completed=True)
+        stored = merge_reports(stored, third.take_unrecorded())
+        started = CrashTracker(clock=self.clock, owner="started")
+        for report in stored:
+            started.observe(report)
+        self.assertFalse(started.blocked("harmless"))
+
+    def test_recorded_reports_are_bounded_and_expire(self):
+        """Guards against a row that grows with each request that crashes upstreams."""
+        blocking = CrashReport(fingerprint="b", incidents=("1", "2"), age_ms=9_000.0)
+        stored = (
+            CrashReport(fingerprint="old", incidents=("3", "4"), age_ms=700_000.0),
+            blocking,
+        )
+        changed = tuple(
+            CrashReport(fingerprint=f"f{n}", incidents=(str(n),), age_ms=float(n))
+            for n in range(MAX_RECORDED_REPORTS)
+        )
+        merged = merge_reports(stored, changed)
+        self.assertEqual(merged[0].fingerprint, "b")
+        self.assertEqual(len(merged), MAX_RECORDED_REPORTS)
+        self.assertNotIn("old", [report.fingerprint for report in merged])
+
     def test_merging_is_idempotent_and_independent_of_order(self):
         """Guards against miscounts: gossip repeats and reorders shared items."""
         reports = [
--- a/tests/entry/test_fleet_service.py
+++ b/tests/entry/test_fleet_service.py
@@ -272,39 +272,74 @@
 class TestCrashingRequest(FleetTest):
     """A request that crashes its upstreams is refused by entries that start later."""
 
+    def setUp(self):
+        super().setUp()
+        self.crashed = []
+        self.targets = {"i1": self.target}
+        for instance in ("i2", "i3", "i4"):
+            self.targets[instance] = Target(instance, load="0,0,3,100", names=HEADERS)
+            self.addCleanup(self.targets[instance].close)
+        for target in self.targets.values():
+            target.replies = self.crash
+        self.register("i2", self.targets["i2"].address)
+        self.assertTrue(
+            eventually(lambda: self.status(0) and self.targets["i2"].executed)
+        )
+
+    def crash(self, number, request):
+        del number
+        if b"/a/poison" not in request:
+            return {}
+        instance = header_of(request, HEADERS.intended_instance)
+        self.crashed.append(instance)
+        self.targets[instance].close()
+        return Reply(content=b"", close=True)
+
+    def replace_crashed(self):
+        for instance in ("i3", "i4"):
+            self.register(instance, self.targets[instance].address)
+
+    def test_blocked_request_gets_through_after_all_entries_were_killed(self):
+        """Guards against crashes that are known in memory only."""
+        self.status(0, "/a/poison")
+        self.assertEqual(sorted(self.crashed), ["i1", "i2"])
+        self.assertTrue(eventually(lambda: self.store.rows("monsoonline-crashes")))
+        for entry in self.entries:
+            entry.close()
+        self.replace_crashed()
+        self.settings.clear()
+        for name in ("e0", "e1"):
+            self.start(name)
+        for number in range(2):
+            self.assertTrue(eventually(lambda n=number: self.status(n) == 200))
+        for number in range(2):
+            self.assertEqual(self.status(number, "/a/poison"), 502)
+        self.assertEqual(len(self.crashed), 2)
+
+    def test_entry_that_gets_the_next_repeat_sends_the_request(self):
+        """Guards against crashes that entries tell each other of too late."""
+        self.register("i3", self.targets["i3"].address)
+        self.assertTrue(
+            eventually(lambda: self.status(1) and self.targets["i3"].executed)
+        )
+        self.status(0, "/a/poison")
+        self.assertEqual(len(self.crashed), 2)
+        self.assertEqual(self.status(1, "/a/poison"), 502)
+        self.assertEqual(len(self.crashed), 2)
+
     def test_entry_that_starts_after_the_crashes_refuses_the_request(self):
         """Guards against one more crash for each entry that is restarted."""
-        crashed = []
-
-        def crash(number, request):
-            del number
-            if b"/a/poison" not in request:
-                return {}
-            instance = header_of(request, HEADERS.intended_instance)
-            crashed.append(instance)
-            targets[instance].close()
-            return Reply(content=b"", close=True)
-
-        targets = {"i1": self.target}
-        for instance in ("i2", "i3", "i4"):
-            targets[instance] = Target(instance, load="0,0,3,100", names=HEADERS)
-            self.addCleanup(targets[instance].close)
-        for target in targets.values():
-            target.replies = crash
-        self.register("i2", targets["i2"].address)
-        self.assertTrue(eventually(lambda: self.status(0) and targets["i2"].executed))
         for _ in range(4):
             self.status(0, "/a/poison")
-        self.assertEqual(sorted(crashed), ["i1", "i2"])
-        for instance in ("i3", "i4"):
-            self.register(instance, targets[instance].address)
+        self.assertEqual(sorted(self.crashed), ["i1", "i2"])
+        self.replace_crashed()
         # The first reports have been sent by then.
         time.sleep(0.5)
         self.start("e2")
         self.assertTrue(eventually(lambda: self.entries_status(2) == 200, within_s=5))
         self.assertTrue(eventually(lambda: self.status(2) == 200))
         self.assertEqual(self.status(2, "/a/poison"), 502)
-        self.assertEqual(len(crashed), 2)
+        self.assertEqual(len(self.crashed), 2)
 
     def entries_status(self, number):
         """Return the readiness status of an entry."""
--- a/tests/entry/test_start_gate.py
+++ b/tests/entry/test_start_gate.py
@@ -29,6 +29,7 @@
         )
         self.clock.advance(5_000.0)
         self.gate = StartGate(clock=self.clock, state=self.state)
+        self.gate.note_crashes_known()
 
     def apply(self, revision, content=b"tables"):
         self.state.use_tables(revision, content)
@@ -44,6 +45,15 @@
         self.gate.note_read(self.clock.now())
         self.assertTrue(self.gate.open)
 
+    def test_entry_that_does_not_know_the_blocked_requests_serves(self):
+        """Guards against a blocked request that a new entry sends to upstreams."""
+        gate = StartGate(clock=self.clock, state=self.state)
+        self.apply(5)
+        gate.note_read(self.clock.now())
+        self.assertFalse(gate.open)
+        gate.note_crashes_known()
+        self.assertTrue(gate.open)
+
     def test_newer_tables_that_were_heard_of_are_applied_first(self):
         """Guards against routes confirmed long before that a new entry lacks."""
         self.apply(5)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 import unittest
 from unittest import mock
 
+from monsoonline.core.crashes import CrashReport
 from monsoonline.errors import StoreUnavailable
 from monsoonline.platform import store
 from monsoonline.platform.documents import decode_registration
@@ -39,6 +40,66 @@
         self.assertEqual([r.instance for r in registrations], ["i1"])
         self.assertGreater(stored.listing.revision, revision)
 
+    def test_crashes_of_several_writers_are_merged(self):
+        first = CrashReport(fingerprint="f", incidents=("1", "2"), age_ms=3_000.0)
+        second = CrashReport(fingerprint="f", incidents=("3",), cleared=("1",))
+        self.assertEqual(self.store.read_crashes(), ())
+        self.store.record_crashes((first,))
+        self.store.record_crashes((second,))
+        (report,) = self.store.read_crashes()
+        self.assertEqual(report.incidents, {"1", "2", "3"})
+        self.assertEqual(report.cleared, {"1"})
+        self.assertLess(report.age_ms, 2_000.0)
+
+    def test_crashes_grow_old_in_the_store(self):
+        """Guards against blocks that each restart of all entries prolongs."""
+        report = CrashReport(fingerprint="f", incidents=("1", "2"), age_ms=3_000.0)
+        self.store.record_crashes((report,))
+        time.sleep(0.05)
+        (stored,) = self.store.read_crashes()
+        self.assertGreaterEqual(stored.age_ms, 3_040.0)
+        self.assertLess(stored.age_ms, 5_000.0)
+
+    def test_crashes_that_another_entry_writes_meanwhile_are_kept(self):
+        """Guards against the loss of one of two writes at the same time."""
+        reports = [
+            CrashReport(fingerprint=name, incidents=("1", "2")) for name in ("f", "g")
+        ]
+        read = PlatformStore._read_crashes
+
+        def read_before_the_other(own):
+            found = read(own)
+            other = PlatformStore(address=self.standin.address)
+            with mock.patch.object(PlatformStore, "_read_crashes", read):
+                other.record_crashes(reports[:1])
+            return found
+
+        with (
+            mock.patch.object(PlatformStore, "_read_crashes", read_before_the_other),
+            self.assertRaises(StoreUnavailable),
+        ):
+            self.store.record_crashes(reports[1:])
+        self.store.record_crashes(reports[1:])
+        found = {report.fingerprint for report in self.store.read_crashes()}
+        self.assertEqual(found, {"f", "g"})
+
+    def test_unreadable_crashes_are_replaced(self):
+        """Guards against a row of another writer that keeps entries from starting."""
+        report = CrashReport(fingerprint="f", incidents=("1", "2"))
+        for content in (
+            b"\xff",
+            b"[]",
+            b'{"requests": [{"fingerprint": 1}]}',
+            b'{"requests": [{"fingerprint": "f", "incidents": [], "cleared": [],'
+            b' "at": 1e400}]}',
+            b"[" * 5_000,
+        ):
+            with self.subTest(content[:40]):
+                self.standin.write("monsoonline-crashes", "requests", content)
+                self.assertEqual(self.store.read_crashes(), ())
+                self.store.record_crashes((report,))
+                self.assertEqual(len(self.store.read_crashes()), 1)
+
     def test_odd_row_hides_no_other_row(self):
         """Guards against a row of another writer that stops all reads of the store."""
         self.standin.write("op", "config", CONFIGURATION)
