Read status lines strictly, whole or in parts

Callers would see: a response whose status line is HTTP/1.1 +200, 0200 or 2_00 reaches them as a 200, if its head arrives in one piece.

Cause: http.client reads the status with int() and splits the line at any white space. A head in one piece was judged by it, one in parts by a pattern. The load header of the product's own upstreams was read with int() as well, so that in-flight=-5 made one seem less than idle.

Change: one pattern reads status lines wherever responses are read: on requests, hedges, probes, interim heads and in the store's answers. Counts of the load header consist of digits.

Result: TestWrongHeads failed for seven kinds of status lines before (25 subtests, whole and in parts), and passes.

--- a/src/monsoonline/adapters/http_response.py
+++ b/src/monsoonline/adapters/http_response.py
@@ -26,10 +26,14 @@
 READ_SIZE_BYTES = 64 << 10
 NO_BODY_STATUSES = frozenset((204, 304))
 SWITCHING_PROTOCOLS = 101
+# Longer reason phrases have no use.
+MAX_STATUS_LINE_BYTES = 8 << 10
+STATUS_LINE = re.compile(
+    rb"(HTTP/1\.[01]) ([1-9][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?\r\n"
+)
 HEADER_LINE = re.compile(
     rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([\t\x20-\x7e\x80-\xff]*)\r\n"
 )
-REASON = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
 CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?\r\n")
 LENGTH = re.compile(r"[0-9]{1,15}")
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*([0-9]{1,6})")
@@ -78,13 +82,11 @@
             header_pairs = self._read_header_pairs()
             if status >= 200 or status == SWITCHING_PROTOCOLS:
                 break
-        if version not in ("HTTP/1.0", "HTTP/1.1") or status < 200:
-            raise FramingError(f"no final response: {version} {status}")
-        self.version = 11 if version == "HTTP/1.1" else 10
+        if status < 200:
+            raise FramingError(f"no final response: status {status}")
+        self.version = 11 if version == b"HTTP/1.1" else 10
         self.code = self.status = status
-        self.reason = reason.strip()
-        if not REASON.fullmatch(self.reason):
-            raise FramingError("the reason phrase has control characters")
+        self.reason = (reason or b"").decode("latin-1").strip()
         self.header_pairs = header_pairs
         self._read_framing()
 
@@ -99,6 +101,17 @@
             value for name, value in self.header_pairs if name.lower() == lower_name
         ]
 
+    def _read_status(self):
+        """Return version, status and reason phrase.
+
+        Replaces the method of ``http.client``, which reads the status with ``int`` and
+        so accepts signs, underscores, further zeros and other white space.
+        """
+        line = self.fp.readline(MAX_STATUS_LINE_BYTES + 1)
+        if not line:
+            raise http.client.RemoteDisconnected("closed without a response")
+        return parse_status_line(line)
+
     def _read_header_pairs(self):
         header_pairs = []
         remaining = MAX_HEADER_BYTES
@@ -173,6 +186,19 @@
         return self.chunk_left
 
 
+def parse_status_line(line):
+    """Return version, status and reason phrase of a status line.
+
+    :param line: the line with its end
+    :raises FramingError: when it is not valid
+    """
+    match = STATUS_LINE.fullmatch(line)
+    if match is None:
+        raise FramingError(f"invalid status line {line[:80]!r}")
+    version, status, reason = match.groups()
+    return version, int(status), reason
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FramedResponse:
     """A complete response with the connection options that it states.
--- a/src/monsoonline/adapters/response_assembly.py
+++ b/src/monsoonline/adapters/response_assembly.py
@@ -15,6 +15,7 @@
     FramingError,
     StrictResponse,
     frame_response,
+    parse_status_line,
     read_chunked_body,
     too_large,
 )
@@ -24,8 +25,7 @@
 # Largest ratio of a chunked body to its data.
 CHUNKED_OVERHEAD = 2
 
-INTERIM_STATUS = re.compile(rb"HTTP/[0-9.]+ +1")
-STATUS_LINE = re.compile(rb"HTTP/[0-9.]+ +([1-9][0-9]{2})(?: [^\r\n]*)?\r?\n")
+INTERIM_STATUS = re.compile(rb"HTTP/1\.[01] 1")
 
 
 class ResponseBytes(io.BytesIO):
@@ -78,10 +78,7 @@
                 raise FramingError(f"invalid header line {line[:80]!r}")
 
     def _read_status(self, line):
-        match = STATUS_LINE.fullmatch(line)
-        if match is None:
-            raise FramingError(f"invalid status line {line[:80]!r}")
-        self._status = int(match[1])
+        _, self._status, _ = parse_status_line(line)
 
     def _begin_next_head(self, start):
         self._interim_responses += 1
--- a/src/monsoonline/entry/outcomes.py
+++ b/src/monsoonline/entry/outcomes.py
@@ -50,6 +50,7 @@
 # Connections are returned to the pool when requests end, well within this time.
 CONNECTION_RETRY_MS = 1000.0
 FAILURE_STATUS = 500
+COUNT = re.compile(r"[0-9]{1,6}")
 WHOLE_SECONDS = re.compile(r"[0-9]{1,6}")
 
 
@@ -88,15 +89,13 @@
     The results are cached, because an upstream with few slots sends few different
     values.
     """
-    try:
-        pairs = dict(part.strip().split("=", 1) for part in text.split(";"))
-        return LoadReport(
-            in_flight=int(pairs["in-flight"]),
-            slots=int(pairs["slots"]),
-            queued=int(pairs.get("queued", 0)),
-        )
-    except (KeyError, ValueError):
+    pairs = dict(part.strip().partition("=")[::2] for part in text.split(";"))
+    counts = [pairs.get(name, "") for name in ("in-flight", "slots")]
+    counts.append(pairs.get("queued", "0"))
+    if not all(COUNT.fullmatch(count) for count in counts):
         return None
+    in_flight, slots, queued = map(int, counts)
+    return LoadReport(in_flight=in_flight, slots=slots, queued=queued)
 
 
 def response_kind(response, *, refusal_means):
--- a/tests/adapters/test_response_assembly.py
+++ b/tests/adapters/test_response_assembly.py
@@ -6,7 +6,13 @@
 from monsoonline.adapters.receive_budget import ReceiveBudget
 from monsoonline.adapters.response_assembly import ResponseAssembler
 from tests.adapters.endless_replies import ENDLESS_REPLIES
-from tests.adapters.test_http_response import RESPONSES, UNFRAMED, read
+from tests.adapters.test_http_response import (
+    RESPONSES,
+    UNFRAMED,
+    WRONG_HEADS,
+    WRONG_TRAILERS,
+    read,
+)
 
 MAX_BYTES = 256 << 10
 TRAILERS = (
@@ -66,6 +72,29 @@
         self.assertEqual(self.take().response.body, b"whole")
 
 
+class TestWrongHeads(AssemblerCase):
+    """A head is judged alike whether it arrives whole or in parts."""
+
+    def test_wrong_head_is_read_as_a_response(self):
+        """Guards against responses that the upstream has not given."""
+        for heads in (*WRONG_HEADS, WRONG_TRAILERS):
+            for name, content in heads.items():
+                for size in (1, 7, len(content)):
+                    with self.subTest(name, content=content, size=size):
+                        self.setUp()
+                        with self.assertRaises(http.client.HTTPException):
+                            self.take_all(content, size)
+
+    def take_all(self, content, size):
+        """Feed a response in parts of a size, then the end; return what is taken."""
+        for start in range(0, len(content), size):
+            self.assembler.feed(content[start : start + size])
+            if (taken := self.take()) is not None:
+                return taken
+        self.assembler.feed_end()
+        return self.take()
+
+
 class TestInvalidBytes(AssemblerCase):
     """Invalid bytes are refused with the line that shows them."""
 
