Take no close before the request was read for the end of a response

Callers saw: an upstream answered a long upload with a 200 without a length, sent a part of its body and reset the connection, and they got the part as the complete answer (the users, on their machines).

Cause: an upstream that closes its sending side before the reset. Linux then reports the end of the connection to the reader, not the reset. If the request was in the buffers of the system by then, no send reported it either, and the end counted as the end of the response.

Change: at the end of a connection the session asks the system for a reset and for bytes that the peer has not acknowledged. With either, only a response that is complete by its own length is delivered.

It works because both the reset and the missing acknowledgement are kept by the system until they are read. Requests, hedges, trials and probes share the session. What is left: a reset later than the read of the end.

--- a/src/monsoonline/adapters/upstream_sessions.py
+++ b/src/monsoonline/adapters/upstream_sessions.py
@@ -5,11 +5,14 @@
 """
 
 import collections
+import fcntl
 import http.client
 import itertools
 import random
 import select
 import socket
+import struct
+import termios
 import threading
 
 from monsoonline.adapters.http_response import MAX_RESPONSE_BYTES
@@ -38,6 +41,7 @@
 # A larger body is sent by itself, which saves a copy.
 MAX_JOINED_BODY_BYTES = 64 << 10
 BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
+INT = struct.Struct("i")
 READ_EVENTS = select.POLLIN | select.POLLRDHUP
 
 
@@ -121,7 +125,7 @@
         self._stray_responses = 0
         # Whether sending failed, which takes the error of a reset from the socket.
         self._send_failed = False
-        # Whether the connection ended after that, which is no end of a response.
+        # Whether a reset ended the connection, which is no end of a response.
         self._lost = False
         # Ids of the probes whose responses were not read, the oldest first. Responses
         # need not repeat the id; they arrive in the order of the probes.
@@ -217,6 +221,7 @@
                     self._close_after_use = True
                 return response
             self._count_stray_response()
+        self._check_lost()
         return None
 
     def send_request(self, request, *, headers, deadline):
@@ -254,8 +259,7 @@
                 return response
             self._close_after_use = True
             self._count_stray_response()
-        if self._lost:
-            raise self._failed(ConnectionError("lost while the request was sent"))
+        self._check_lost()
         return None
 
     def close(self):
@@ -299,7 +303,7 @@
             while received < MAX_RECEIVED_AT_ONCE_BYTES:
                 content = self._socket.recv(RECEIVE_BYTES)
                 if not content:
-                    if self._send_failed:
+                    if self._is_reset():
                         self._lost = True
                     else:
                         self._assembler.feed_end()
@@ -315,6 +319,23 @@
         except (OSError, http.client.HTTPException) as error:
             raise self._failed(error) from error
 
+    def _is_reset(self):
+        """Return whether the connection, whose end was read, was reset.
+
+        The upstream may have closed its side first. The end is reported then, and not
+        the reset that followed it, or that will follow once it gets what it has not
+        read of the request.
+        """
+        return (
+            self._send_failed
+            or self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+            or unacknowledged_bytes(self._socket) > 0
+        )
+
+    def _check_lost(self):
+        if self._lost:
+            raise self._failed(ConnectionError("lost before the whole response"))
+
     def _take_probe_response(self):
         return self._take("GET", max_bytes=MAX_PROBE_RESPONSE_BYTES)
 
@@ -407,6 +428,18 @@
         )
 
 
+def unacknowledged_bytes(connection):
+    """Return the number of bytes sent that the peer has not acknowledged.
+
+    :returns: 0 where the system does not tell
+    """
+    try:
+        packed = fcntl.ioctl(connection, termios.TIOCOUTQ, bytes(INT.size))
+    except OSError:
+        return 0
+    return INT.unpack(packed)[0]
+
+
 class SessionPool:
     """Pool of idle sessions by upstream address.
 
--- a/tests/adapters/test_upstream_sessions.py
+++ b/tests/adapters/test_upstream_sessions.py
@@ -1,5 +1,6 @@
 """Tests of upstream sessions over sockets."""
 
+import contextlib
 import select
 import socket
 import struct
@@ -202,15 +203,15 @@
             linger = struct.pack("ii", 1, 0)
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
-    def exchange(self, content):
-        """Send a large request to an upstream that answers early; return the result."""
+    def connect(self, answer, content, *, body):
+        """Return a session to an upstream that answers early, and a request."""
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(self.listener.close)
-        upstream = threading.Thread(target=self.answer_early, args=(content,))
-        upstream.start()
-        clock = SystemClock()
+        self.upstream = threading.Thread(target=answer, args=(content,))
+        self.upstream.start()
+        self.clock = SystemClock()
         host, port = self.listener.getsockname()
-        pool = SessionPool(clock=clock, names=NAMES)
+        pool = SessionPool(clock=self.clock, names=NAMES)
         session = pool.open_new(f"{host}:{port}")
         self.addCleanup(session.close)
         session.begin_connect()
@@ -218,21 +219,62 @@
         poller.register(session.fileno(), select.POLLOUT)
         poller.poll(WAIT_MS)
         session.end_connect()
-        request = Request(method="POST", host="shop", target="/a", body=self.LARGE_BODY)
-        deadline = clock.now() + WAIT_MS
-        with self.assertRaises(SessionFailed):
-            session.send_request(request, headers=(), deadline=deadline)
-        upstream.join()
+        self.deadline = self.clock.now() + WAIT_MS
+        return session, Request(method="POST", host="shop", target="/a", body=body)
+
+    def read_until_end(self, session, request):
         result = None
-        while result is None and clock.now() < deadline:
+        while result is None and self.clock.now() < self.deadline:
             result = session.read_request(request, "own")
         return result
 
+    def exchange(self, content):
+        """Send a large request to an upstream that answers early; return the result."""
+        session, request = self.connect(
+            self.answer_early, content, body=self.LARGE_BODY
+        )
+        with self.assertRaises(SessionFailed):
+            session.send_request(request, headers=(), deadline=self.deadline)
+        self.upstream.join()
+        return self.read_until_end(session, request)
+
     def test_reset_after_a_failed_send_is_the_end_of_a_response(self):
         """Guards against a 200 with a part of a body that has no length."""
         with self.assertRaises(SessionFailed):
             self.exchange(response("own", body=b"a part", length=False).content)
 
+    def close_unread(self, content):
+        """Answer before the request is read, and close both sides of the connection."""
+        connection, _ = self.listener.accept()
+        with connection:
+            connection.recv(1024)
+            connection.sendall(content)
+            connection.shutdown(socket.SHUT_WR)
+
+    def test_close_before_the_request_was_read_is_the_end_of_a_response(self):
+        """Guards against a 200 with a part of a body that has no length.
+
+        The system reports an end of the connection, not the reset that followed it.
+        """
+        part = response("own", body=b"a part", length=False).content
+        session, request = self.connect(self.close_unread, part, body=b"x" * 200_000)
+        with contextlib.suppress(SessionFailed):
+            session.send_request(request, headers=(), deadline=self.deadline)
+        self.upstream.join()
+        time.sleep(0.05)
+        with self.assertRaises(SessionFailed):
+            self.read_until_end(session, request)
+
+    def test_reset_after_a_complete_send_is_the_end_of_a_response(self):
+        """Guards against a 200 with a part of a body that has no length."""
+        for body in (b"", b"x" * 1_000, b"x" * 200_000):
+            part = response("own", body=b"a part", length=False).content
+            session, request = self.connect(self.answer_early, part, body=body)
+            session.send_request(request, headers=(), deadline=self.deadline)
+            self.upstream.join()
+            with self.subTest(body=len(body)), self.assertRaises(SessionFailed):
+                self.read_until_end(session, request)
+
     def test_whole_response_before_a_failed_send_is_delivered(self):
         whole = self.exchange(response("own", body=b"whole").content)
         self.assertEqual(whole.body, b"whole")
