Count heartbeats, so that one relayed again shows no life

The age of a member's update does not grow while a heartbeat waits for a paused entry, which then relays the update as a newer one.

Change: entries count their heartbeats. A relayed update counts if it is of a new heartbeat of its member. The count stands above the flags of a member, which entries of earlier versions read without it.

Result: test_paused_entry_keeps_an_ended_one_among_the_live failed on the commit before, and passes.

--- a/src/monsoonline/adapters/fleet_codec.py
+++ b/src/monsoonline/adapters/fleet_codec.py
@@ -50,12 +50,15 @@
 )
 MEMBER_READY_FLAG = 1
 MEMBER_LEAVING_FLAG = 2
+# The bits above the flags of a member are its beat.
+MEMBER_FLAG_BITS = 2
 REGISTRATION_COLD_FLAG = 2
 
 
 def pack_member(member):
     """Return a member as a list."""
     flags = MEMBER_READY_FLAG * member.ready | MEMBER_LEAVING_FLAG * member.leaving
+    flags |= member.beat << MEMBER_FLAG_BITS
     return [
         member.name,
         member.failure_domain,
@@ -122,6 +125,7 @@
         peer_address=unpack_address(peer_address),
         ready=bool(flags & MEMBER_READY_FLAG),
         leaving=bool(flags & MEMBER_LEAVING_FLAG),
+        beat=unpack_integer(flags) >> MEMBER_FLAG_BITS,
     )
 
 
--- a/src/monsoonline/core/fleet.py
+++ b/src/monsoonline/core/fleet.py
@@ -28,6 +28,9 @@
 # that both sides of a partition find each other again.
 LOST_LIFETIME_MS = 3_600_000.0
 MAX_LOST_MEMBERS = 1_000
+# A beat is a count of heartbeats, above the bits that differ for each start.
+INCARNATION_BITS = 12
+MAX_INCARNATIONS = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -40,6 +43,7 @@
     :param peer_address: ``host:port`` for messages and transfers between entries
     :param ready: whether callers may be directed to it
     :param leaving: whether it is shutting down
+    :param beat: increases with each of its heartbeats; 0 if it does not count them
     """
 
     name: str
@@ -48,11 +52,15 @@
     peer_address: str
     ready: bool = False
     leaving: bool = False
+    beat: int = dataclasses.field(default=0, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class MemberAge:
-    """A member and the age of its update, summed over all relays."""
+    """A member and the age of its update, summed over all relays.
+
+    The sum lacks the time for which messages have waited.
+    """
 
     member: FleetMember
     age_ms: float
@@ -71,6 +79,9 @@
         self._own = own
         self._members = {}
         self._updated_at = {}
+        # Highest count of heartbeats of the last starts of each member, by name.
+        self._beats = {}
+        self._incarnation = random.getrandbits(INCARNATION_BITS)
         # Forgotten members and when they were forgotten, by name, the latest last.
         self._lost = collections.OrderedDict()
         # Time of the last message from each failure domain.
@@ -102,6 +113,13 @@
             self._own = dataclasses.replace(self._own, **changes)
             self._forget_derived()
 
+    def count_beat(self):
+        """Count a heartbeat of this entry."""
+        with self._lock:
+            number = (self._own.beat >> INCARNATION_BITS) + 1
+            beat = number << INCARNATION_BITS | self._incarnation
+            self._own = dataclasses.replace(self._own, beat=beat)
+
     def note_message(self, peer_address, now):
         """Record that a message was received from a ``host:port``."""
         with self._lock:
@@ -113,22 +131,49 @@
             if domain is not None:
                 self._heard_at[domain] = now
 
-    def update(self, member, *, now, age_ms=0.0):
-        """Apply an update about a member, unless a newer one is known.
+    def update(self, member, *, now):
+        """Apply an update that a member has sent itself.
 
         :param member: the :class:`FleetMember`
         :param now: the time in ms
-        :param age_ms: age of the update
         """
+        with self._lock:
+            self._note_beat(member)
+            self._update(member, now)
+
+    def update_relayed(self, item, *, now):
+        """Apply an update that another member has relayed, unless it is known.
+
+        The age of an update does not grow while its message waits for a paused entry.
+        Therefore only a new heartbeat shows that a member is live, and the same one
+        relayed again does not.
+
+        :param item: the :class:`MemberAge`
+        :param now: the time in ms
+        """
+        with self._lock:
+            if self._note_beat(item.member) or not item.member.beat:
+                self._update(item.member, now - item.age_ms)
+
+    def _note_beat(self, member):
+        """Record the heartbeat of an update; return whether it is a new one."""
+        number = member.beat >> INCARNATION_BITS
+        incarnation = member.beat & ((1 << INCARNATION_BITS) - 1)
+        numbers = self._beats.setdefault(member.name, {})
+        if number <= numbers.get(incarnation, 0):
+            return False
+        numbers[incarnation] = number
+        if len(numbers) > MAX_INCARNATIONS:
+            del numbers[next(iter(numbers))]
+        return True
+
+    def _update(self, member, updated_at):
         if member.name == self._own.name:
             return
-        updated_at = now - age_ms
-        with self._lock:
-            if updated_at <= self._updated_at.get(member.name, float("-inf")):
-                return
+        if updated_at > self._updated_at.get(member.name, float("-inf")):
             if self._members.get(member.name) != member:
-                self._members[member.name] = member
                 self._forget_derived()
+            self._members[member.name] = member
             self._updated_at[member.name] = updated_at
             self._lost.pop(member.name, None)
 
@@ -148,6 +193,7 @@
                 if now - updated_at > FORGET_TIMEOUT_MS:
                     self._lost[name] = (self._members.pop(name), now)
                     del self._updated_at[name]
+                    self._beats.pop(name, None)
                     self._forget_derived()
             while self._lost and self._has_expired_lost(now):
                 self._lost.popitem(last=False)
--- a/src/monsoonline/entry/fleet_link.py
+++ b/src/monsoonline/entry/fleet_link.py
@@ -149,6 +149,7 @@
 
     def announce(self):
         """Send a heartbeat to all known entries immediately."""
+        self._fleet.count_beat()
         heartbeat = encode_datagram(self._make_heartbeat(remote=True))
         for member in self._fleet.others():
             self._send(member, heartbeat)
@@ -281,7 +282,7 @@
         self._metrics.count("state_transfers_total")
         now = self._clock.now()
         for item in copy.members:
-            self._fleet.update(item.member, now=now, age_ms=item.age_ms)
+            self._fleet.update_relayed(item, now=now)
         self._gate.note_revision(copy.tables_revision)
         self._state.use_copy(copy)
         if copy.read_age_ms is not None and self._state.includes(
@@ -365,7 +366,7 @@
 
     def _handle_heartbeat(self, heartbeat, now):
         for item in heartbeat.members:
-            self._fleet.update(item.member, now=now, age_ms=item.age_ms)
+            self._fleet.update_relayed(item, now=now)
         self._gate.note_revision(heartbeat.tables_revision)
         state = self._state
         newer = heartbeat.registrations_revision > state.registrations_revision
@@ -440,6 +441,7 @@
         while not self._stopping.wait(HEARTBEAT_INTERVAL_MS / 1e3):
             now = self._clock.now()
             self._fleet.forget_unresponsive(now)
+            self._fleet.count_beat()
             if now - contacted_at >= LOST_CONTACT_INTERVAL_MS:
                 contacted_at = now
                 self._contact_lost_member()
--- a/tests/adapters/test_fleet_codec.py
+++ b/tests/adapters/test_fleet_codec.py
@@ -58,6 +58,19 @@
             )
         )
 
+    def test_heartbeats_are_counted_beside_the_flags(self):
+        beating = member("a", ready=True, beat=1 << 40 | 5)
+        heartbeat = Heartbeat(
+            sender=beating,
+            members=(),
+            tables_revision=7,
+            registrations_revision=9,
+            registrations_digest="abc",
+        )
+        decoded = decode_datagram(encode_datagram(heartbeat))
+        self.assertEqual(decoded, heartbeat)
+        self.assertEqual(decoded.sender.beat, beating.beat)
+
     def test_read_notice(self):
         self.assert_round_trip(
             ReadNotice(
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -6,10 +6,12 @@
 from monsoonline.core.fleet import (
     CONTACT_TIMEOUT_MS,
     FORGET_TIMEOUT_MS,
+    INCARNATION_BITS,
     LIVENESS_TIMEOUT_MS,
     LOST_LIFETIME_MS,
     Fleet,
     FleetMember,
+    MemberAge,
 )
 from tests.fixtures import run_together
 
@@ -29,10 +31,47 @@
     def setUp(self):
         self.fleet = Fleet(own=member("own"))
 
+    def relay(self, relayed, *, now, age_ms):
+        self.fleet.update_relayed(MemberAge(member=relayed, age_ms=age_ms), now=now)
+
+    def beating(self, number, *, incarnation=1, **changes):
+        beat = number << INCARNATION_BITS | incarnation
+        return member("b", beat=beat, **changes)
+
+    def test_heartbeat_that_is_relayed_again_keeps_an_ended_member_live(self):
+        """Guards against callers that are sent to an entry that has ended.
+
+        Ages do not grow while their messages wait for a paused entry, which then
+        relayed the last heartbeat as a new one.
+        """
+        self.fleet.update(self.beating(7), now=1_000.0)
+        for now in (1_400.0, 1_800.0, 2_200.0):
+            for number in (7, 6):
+                self.relay(self.beating(number), now=now, age_ms=100.0)
+        self.assertEqual(self.fleet.age_ms("b", 2_200.0), 1_200.0)
+        self.relay(self.beating(8), now=2_200.0, age_ms=100.0)
+        self.assertEqual(self.fleet.age_ms("b", 2_200.0), 100.0)
+
+    def test_member_that_starts_anew_is_live_again(self):
+        """Guards against a restarted entry whose heartbeats count from one."""
+        self.fleet.update(self.beating(700), now=1_000.0)
+        self.relay(self.beating(1, incarnation=2), now=9_000.0, age_ms=100.0)
+        self.assertEqual(self.fleet.age_ms("b", 9_000.0), 100.0)
+        self.relay(self.beating(700), now=9_900.0, age_ms=0.0)
+        self.assertEqual(self.fleet.age_ms("b", 9_900.0), 1_000.0)
+
+    def test_own_heartbeats_are_counted(self):
+        beats = []
+        for _ in range(3):
+            self.fleet.count_beat()
+            beats.append(self.fleet.own.beat)
+        self.assertEqual(sorted(set(beats)), beats)
+        self.assertEqual(self.fleet.own, member("own"))
+
     def test_older_update_is_ignored(self):
         """A relayed update from before a shutdown would restore a leaving entry."""
         self.fleet.update(member("b", leaving=True), now=1_000.0)
-        self.fleet.update(member("b", ready=True), now=1_100.0, age_ms=300.0)
+        self.relay(member("b", ready=True), now=1_100.0, age_ms=300.0)
         self.assertTrue(self.fleet.others()[0].leaving)
 
     def test_members_are_read_while_messages_change_them(self):
@@ -90,7 +129,7 @@
         self.assertEqual(self.fleet.others(), ())
 
     def test_ages_are_summed_over_relays(self):
-        self.fleet.update(member("b"), now=1_000.0, age_ms=200.0)
+        self.relay(member("b"), now=1_000.0, age_ms=200.0)
         (age,) = self.fleet.ages(1_300.0, failure_domain="a")
         self.assertEqual(age.age_ms, 500.0)
 
--- a/tests/core/test_recipient_selection.py
+++ b/tests/core/test_recipient_selection.py
@@ -50,21 +50,22 @@
             for own in self.members:
                 if own.name in unresponsive:
                     continue
-                selector = self.selectors[own.name]
+                fleet, selector = self.fleets[own.name], self.selectors[own.name]
+                fleet.count_beat()
                 local, remote = selector.next_heartbeat()
                 for receivers, is_remote in ((local, False), (remote, True)):
                     listed = selector.members_for(now, remote=is_remote)
                     max_remote = max(max_remote, len(listed) if is_remote else 0)
                     for receiver in receivers:
                         if receiver.name not in unresponsive:
-                            self.deliver(own, listed, receiver, now)
+                            self.deliver(fleet.own, listed, receiver, now)
         return max_remote
 
     def deliver(self, sender, listed, receiver, now):
         fleet = self.fleets[receiver.name]
         fleet.update(sender, now=now)
         for item in listed:
-            fleet.update(item.member, now=now, age_ms=item.age_ms)
+            fleet.update_relayed(item, now=now)
 
     def live_local_names(self, name, now):
         fleet = self.fleets[name]
--- a/tests/entry/test_permits.py
+++ b/tests/entry/test_permits.py
@@ -114,12 +114,13 @@
         if entry.name in self.paused:
             return
         entry.permits.review()
+        entry.fleet.count_beat()
         now = self.clock.now()
         for other in self.entries.values():
             if other is not entry and self.connected(entry.name, other.name):
                 other.fleet.update(entry.fleet.own, now=now)
                 for item in entry.fleet.ages(now, failure_domain="a"):
-                    other.fleet.update(item.member, now=now, age_ms=item.age_ms)
+                    other.fleet.update_relayed(item, now=now)
 
 
 class TestHandover(unittest.TestCase):
--- a/tests/entry/test_read_sharing.py
+++ b/tests/entry/test_read_sharing.py
@@ -7,7 +7,7 @@
 
 from monsoonline.clock import ManualClock
 from monsoonline.core.crashes import CrashTracker
-from monsoonline.core.fleet import Fleet
+from monsoonline.core.fleet import LIVENESS_TIMEOUT_MS, Fleet
 from monsoonline.core.read_schedule import PERIOD_MS, ReadSchedule
 from monsoonline.entry.fleet_link import FleetLink
 from monsoonline.entry.shared_state import SharedState
@@ -74,7 +74,7 @@
         self._shared_clock = clock
         metrics = Metrics()
         self.own = member(f"entry-{number}", peer_address=f"10.0.0.{number + 1}:90")
-        self._fleet = Fleet(own=self.own)
+        self.fleet = Fleet(own=self.own)
         self.state = state = SharedState(
             decode_tables=lambda content, revision: content,
             on_tables=lambda tables: None,
@@ -88,7 +88,7 @@
             self.link = FleetLink(
                 address=self.own.peer_address,
                 clock=self._clock,
-                fleet=self._fleet,
+                fleet=self.fleet,
                 state=state,
                 schedule=schedule,
                 on_failure=mock.Mock(),
@@ -101,7 +101,7 @@
         self._reader = StoreReader(
             clock=self._clock,
             store=store,
-            fleet=self._fleet,
+            fleet=self.fleet,
             state=state,
             schedule=schedule,
             link=self.link,
@@ -112,7 +112,10 @@
     def meet(self, others):
         for other in others:
             if other is not self:
-                self._fleet.add_listed(other.own, now=self._clock.now())
+                self.fleet.add_listed(other.own, now=self._clock.now())
+
+    def live_names(self):
+        return self.fleet.live_names(self._clock.now())
 
     def step(self):
         """Handle all messages, then read if it is due."""
@@ -223,6 +226,19 @@
         network.run(30_000.0, pause)
         self.assert_recent(network, network.entries[2:])
 
+    def test_paused_entry_keeps_an_ended_one_among_the_live(self):
+        """Guards against callers that are sent to an entry that has ended."""
+        network = Network(7)
+        pausing, *sound, ended = network.entries
+
+        def pause(now):
+            pausing.paused = now > 3_000.0 and now % 400.0 >= 20.0
+            ended.paused = now > 6_000.0
+
+        network.run(6_000.0 + LIVENESS_TIMEOUT_MS + 2 * HEARTBEAT_MS, pause)
+        for entry in sound:
+            self.assertNotIn(ended.own.name, entry.live_names())
+
     def test_one_entry_reads_for_all(self):
         """Guards against calls to the store that grow with the number of entries."""
         network = Network(20)
