Repeat a slow exchange of the time after 5 s, not at once

A reader on a small machine may take over 0.1 s for a reply because all entries ask it at once; each would then ask again with every read, 330 requests a second at 231 entries. The bound of the offset only makes reads seem older until then. Found by reading; no run showed it. The test of repeated exchanges covers the interval.

--- a/src/monsoonline/core/peer_reads.py
+++ b/src/monsoonline/core/peer_reads.py
@@ -15,8 +15,10 @@
 # Clocks drift apart by less than 0.1 s in this time.
 EXCHANGE_LIFETIME_MS = 100_000.0
 EXCHANGE_INTERVAL_MS = 60_000.0
-# After a slower exchange the bound may be far off, and another one is made.
+# After a slower exchange the bound may be far off, and another one is made. It is not
+# made at once, since the reader may be slow because of the requests of all entries.
 SLOW_EXCHANGE_MS = 100.0
+SLOW_EXCHANGE_INTERVAL_MS = 5_000.0
 # Time for a reply before the exchange is repeated.
 EXCHANGE_TIMEOUT_MS = 500.0
 MAX_EXCHANGES = 8
@@ -86,11 +88,11 @@
         clock = self._clock_of(reader)
         if now - clock.requested_at < EXCHANGE_TIMEOUT_MS:
             return False
-        if any(
-            now - received_at < EXCHANGE_INTERVAL_MS and duration < SLOW_EXCHANGE_MS
-            for received_at, _, duration in clock.exchanges
-        ):
-            return False
+        for received_at, _, duration in clock.exchanges:
+            slow = duration >= SLOW_EXCHANGE_MS
+            interval = SLOW_EXCHANGE_INTERVAL_MS if slow else EXCHANGE_INTERVAL_MS
+            if now - received_at < interval:
+                return False
         clock.requested_at = now
         return True
 
--- a/tests/core/test_peer_reads.py
+++ b/tests/core/test_peer_reads.py
@@ -7,6 +7,7 @@
     EXCHANGE_LIFETIME_MS,
     EXCHANGE_TIMEOUT_MS,
     MAX_READERS,
+    SLOW_EXCHANGE_INTERVAL_MS,
     SLOW_EXCHANGE_MS,
     PeerReads,
     Reader,
@@ -60,6 +61,8 @@
             sent_at=at, replied_at=at, received_at=at + SLOW_EXCHANGE_MS + 1.0
         )
         at += EXCHANGE_TIMEOUT_MS
+        self.assertFalse(self.reads.take_request(READER, at))
+        at += SLOW_EXCHANGE_INTERVAL_MS
         self.assertTrue(self.reads.take_request(READER, at))
         self.exchange(sent_at=at, replied_at=at, received_at=at + 2.0)
         self.assertFalse(self.reads.take_request(READER, at + EXCHANGE_TIMEOUT_MS))
