Tell of a crash once, not once for each lost connection

Each lost connection of a crashed upstream told all entries of the same requests again. Only what was not known is told now.

The new test failed before (4 calls), and passes (1 call for 4 requests).

--- a/src/monsoonline/core/crashes.py
+++ b/src/monsoonline/core/crashes.py
@@ -245,6 +245,7 @@
         :param fingerprint: fingerprint of the request on the connection
         """
         now = self._clock.now()
+        changed = False
         with self._lock:
             incident = self._incident_id(address, now)
             running = set(self._running.get(address, ())) | {fingerprint}
@@ -252,10 +253,13 @@
             for suspect in running:
                 # A request that completed recently is not the cause.
                 completed_at = self._completed.get(suspect, -COMPLETION_LIFETIME_MS)
-                if now - completed_at >= COMPLETION_LIFETIME_MS:
-                    self._merge(suspect, {incident}, set(), now, observed=True)
+                if now - completed_at < COMPLETION_LIFETIME_MS:
+                    continue
+                if self._merge(suspect, {incident}, set(), now, observed=True):
                     self._unshared.append(suspect)
-        self._on_change()
+                    changed = True
+        if changed:
+            self._on_change()
 
     def blocked(self, fingerprint):
         """Return whether a request must be refused as a poison request."""
@@ -390,6 +394,7 @@
         their reports.
 
         :param observed: whether this entry has observed the crashes
+        :returns: whether anything was not known
         """
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
@@ -398,12 +403,13 @@
                 self._suspects.popitem(last=False)
         suspect.observed = suspect.observed or observed
         if incidents <= suspect.incidents and cleared <= suspect.cleared:
-            return
+            return False
         suspect.updated_at = max(suspect.updated_at, at)
         suspect.incidents |= incidents
         suspect.cleared |= cleared
         if suspect.observed and suspect.uncleared_count >= CRASHES_TO_BLOCK:
             self._unrecorded[fingerprint] = None
+        return True
 
     def _remove_running(self, address, fingerprint):
         running = self._running.get(address)
--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -142,6 +142,19 @@
             self.assertFalse(tracker.blocked("f"))
             self.assertTrue(tracker.suspected("f"))
 
+    def test_every_lost_connection_of_a_crash_is_told_to_all_entries(self):
+        """Guards against many messages for each upstream that ends under load."""
+        calls = []
+        tracker = CrashTracker(
+            clock=self.clock, owner="e", on_change=lambda: calls.append(None)
+        )
+        for number in range(4):
+            tracker.started("a:1", f"f{number}")
+        for number in range(4):
+            tracker.connection_lost("a:1", f"f{number}")
+        self.assertEqual(len(calls), 1)
+        self.assertEqual(len(tracker.take_reports()), 4)
+
     def test_lost_connections_of_one_crash_count_once(self):
         tracker = self.trackers[0]
         for _ in range(3):
