Read blocked requests together with the list of entries

The row now stands in the table of the entries, under a key that no entry has, and comes with the list that an entry reads at its start. The tests of the store, the reader and the recorder cover it; the kill of all entries in tests/entry/test_fleet_service.py passes unchanged but for the name of the row.

--- a/src/monsoonline/entry/crash_recorder.py
+++ b/src/monsoonline/entry/crash_recorder.py
@@ -19,28 +19,26 @@
 
 
 class CrashRecorder:
-    """Thread that reads the blocked requests at the start, and writes changes.
+    """Thread that writes blocked requests to the store.
 
     An entry writes what it has observed itself, and nothing else, so that a crash costs
     one write of one entry.
 
     :param store: a :class:`monsoonline.ports.SharedStore`
     :param crashes: :class:`monsoonline.core.crashes.CrashTracker`
-    :param gate: :class:`monsoonline.entry.start_gate.StartGate`
     :param metrics: counters
     """
 
-    def __init__(self, *, store, crashes, gate, metrics):
+    def __init__(self, *, store, crashes, metrics):
         self._store = store
         self._crashes = crashes
-        self._gate = gate
         self._metrics = metrics
         self._generator = random.Random()
         self._changed = threading.Event()
         self._stopping = threading.Event()
 
     def start(self):
-        """Start reading."""
+        """Start writing."""
         start_task(self._run, stopping=self._stopping, on_error=self._count_failure)
 
     def close(self):
@@ -56,34 +54,25 @@
         self._metrics.count("crash_recorder_failures_total")
 
     def _run(self):
-        self._repeat(self._load)
         while not self._stopping.is_set():
             self._changed.wait()
             self._changed.clear()
-            self._repeat(self._record)
+            self._record_all()
             self._stopping.wait(RECORD_INTERVAL_MS / 1e3)
 
-    def _repeat(self, call):
-        """Make a call until the store has performed it."""
+    def _record_all(self):
+        """Write what has changed, repeatedly until the store has done so."""
         retry_ms = RETRY_MS
         while not self._stopping.is_set():
             try:
-                call()
+                self._record()
                 return
             except StoreUnavailable as error:
                 self._metrics.count("store_failures_total", call="crashes")
-                logger.debug("crashes not exchanged", extra={"error": str(error)})
+                logger.debug("crashes not written", extra={"error": str(error)})
             self._stopping.wait(retry_ms * (0.5 + self._generator.random()) / 1e3)
             retry_ms = min(MAX_RETRY_MS, 2 * retry_ms)
 
-    def _load(self):
-        reports = self._store.read_crashes()
-        for report in reports:
-            self._crashes.observe(report)
-        self._gate.note_crashes_known()
-        if reports:
-            logger.info("blocked requests read", extra={"requests": len(reports)})
-
     def _record(self):
         reports = self._crashes.take_unrecorded()
         if not reports:
--- a/src/monsoonline/entry/fleet_service.py
+++ b/src/monsoonline/entry/fleet_service.py
@@ -173,11 +173,12 @@
             state=self._state,
             schedule=self._schedule,
             link=self._link,
+            crashes=self._crashes,
             gate=self._gate,
             metrics=self._metrics,
         )
         self._recorder = CrashRecorder(
-            store=store, crashes=self._crashes, gate=self._gate, metrics=self._metrics
+            store=store, crashes=self._crashes, metrics=self._metrics
         )
         self._auxiliary_servers = self._make_auxiliary_servers()
         self._lifecycle = self._make_lifecycle()
--- a/src/monsoonline/entry/store_reader.py
+++ b/src/monsoonline/entry/store_reader.py
@@ -28,11 +28,15 @@
     :param state: :class:`monsoonline.entry.shared_state.SharedState`
     :param schedule: :class:`monsoonline.core.read_schedule.ReadSchedule`
     :param link: :class:`monsoonline.entry.fleet_link.FleetLink`
+    :param crashes: :class:`monsoonline.core.crashes.CrashTracker`
     :param gate: :class:`monsoonline.entry.start_gate.StartGate`
     :param metrics: counters
     """
 
-    def __init__(self, *, clock, store, fleet, state, schedule, link, gate, metrics):
+    def __init__(
+        self, *, clock, store, fleet, state, schedule, link, crashes, gate, metrics
+    ):
+        self._crashes = crashes
         self._gate = gate
         self._clock = clock
         self._store = store
@@ -71,14 +75,17 @@
         retry_ms = JOIN_RETRY_MS
         while not self._stopping.is_set():
             try:
-                members = self._store.join(self._fleet.own)
+                joined = self._store.join(self._fleet.own)
             except StoreUnavailable as error:
                 self._metrics.count("store_failures_total", call="join")
                 logger.warning("failed to join the fleet", extra={"error": str(error)})
             else:
                 now = self._clock.now()
-                for member in members:
+                for member in joined.members:
                     self._fleet.add_listed(member, now=now)
+                for report in joined.crashes:
+                    self._crashes.observe(report)
+                self._gate.note_crashes_known()
                 self._joined = True
                 self._link.announce()
                 return
--- a/src/monsoonline/platform/documents.py
+++ b/src/monsoonline/platform/documents.py
@@ -31,7 +31,7 @@
 ]
 
 CONFIGURATION_PLACE = "op/config"
-CRASHES_PLACE = "crashes"
+CRASHES_PLACE = "entries/#requests"
 # Value of a route's ``kind`` whose requests may run more than once.
 IDEMPOTENT_KIND = "safe"
 TARGET_STATES = ("ready", "draining")
--- a/src/monsoonline/platform/store.py
+++ b/src/monsoonline/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import dataclasses
 import http.client
 import itertools
 import json
@@ -22,7 +23,7 @@
     encode_crashes,
     encode_member,
 )
-from monsoonline.ports import StoredState
+from monsoonline.ports import JoinedFleet, StoredState
 
 __all__ = ["PlatformStore", "StoreConnection"]
 
@@ -37,8 +38,9 @@
 CONFIGURATION_KEY = "config"
 TARGETS_TABLE = "servers"
 ENTRIES_TABLE = "monsoonline-entries"
-CRASHES_TABLE = "monsoonline-crashes"
-CRASHES_KEY = "requests"
+# Row of that table with the requests that crash upstreams, so that a starting entry
+# reads both with one call. No name of an entry begins like it.
+CRASHES_KEY = "#requests"
 HTTP_OK = 200
 PAGE_ROWS = 500
 MAX_LOGGED_ROWS = 5
@@ -138,6 +140,20 @@
             self._connection = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Rows:
+    """Rows of a table as the store returned them.
+
+    :param rows: the rows as JSON objects
+    :param revision: revision of the store
+    :param now_ms: time on the clock of the store, 0 if it does not tell
+    """
+
+    rows: list
+    revision: int
+    now_ms: float
+
+
 class PlatformStore:
     """Implementation of :class:`monsoonline.ports.SharedStore` on the platform.
 
@@ -159,9 +175,10 @@
         self._crash_connection.close()
 
     def join(self, member):
-        """Register this entry and return all registered entries.
+        """Register this entry and return what the entries keep.
 
         :param member: :class:`monsoonline.core.fleet.FleetMember` of this entry
+        :returns: :class:`monsoonline.ports.JoinedFleet`
         :raises StoreUnavailable: if a call failed
         """
         row = {
@@ -173,19 +190,13 @@
         # The write has no condition, so a call whose response was lost can be repeated.
         document = {"expected_revision": [], "put": [row], "remove": []}
         self._join_connection.call("POST", "/-/rows-tx", document=document)
-        rows, _ = self._read_rows(self._join_connection, ENTRIES_TABLE)
+        page = self._read_rows(self._join_connection, ENTRIES_TABLE)
         self._join_connection.close()
-        return self._decode_rows(ENTRIES_TABLE, rows, decode_member)
-
-    def read_crashes(self):
-        """Return what is kept of requests that crash upstreams.
-
-        :returns: :class:`monsoonline.core.crashes.CrashReport` items
-        :raises StoreUnavailable: if the call failed
-        """
-        reports, _, _ = self._read_crashes()
-        self._crash_connection.close()
-        return reports
+        rows = [row for row in page.rows if row["key"] != CRASHES_KEY]
+        return JoinedFleet(
+            members=self._decode_rows(ENTRIES_TABLE, rows, decode_member),
+            crashes=self._decode_crashes(page),
+        )
 
     def record_crashes(self, reports):
         """Merge reports into what is kept of requests that crash upstreams.
@@ -194,30 +205,27 @@
         :raises StoreUnavailable: if a call failed, or another entry has written
             meanwhile; the call can be repeated
         """
-        stored, version, now_ms = self._read_crashes()
-        content = encode_crashes(merge_reports(stored, reports), now_ms)
-        row = {"table": CRASHES_TABLE, "part": "", "key": CRASHES_KEY}
+        connection = self._crash_connection
+        page = self._read_rows(connection, ENTRIES_TABLE, key=CRASHES_KEY)
+        merged = merge_reports(self._decode_crashes(page), reports)
+        content = encode_crashes(merged, page.now_ms)
+        row = {"table": ENTRIES_TABLE, "part": "", "key": CRASHES_KEY}
+        version = page.rows[0]["ver"] if page.rows else 0
         document = {
             "expected_revision": [row | {"ver": version}],
             "put": [row | {"value": base64.b64encode(content).decode()}],
             "remove": [],
         }
-        self._crash_connection.call("POST", "/-/rows-tx", document=document)
-        self._crash_connection.close()
+        connection.call("POST", "/-/rows-tx", document=document)
+        connection.close()
 
-    def _read_crashes(self):
-        """Return the reports, the version of their row and the time of the store."""
-        page = self._crash_connection.call(
-            "GET", "/-/rows-get", query=query_of(CRASHES_TABLE, CRASHES_KEY)
-        )
-        now_ms = parse_time_ms(str(page.get("now"))) or 0.0
-        rows = [row for row in page["rows"] if row["key"] == CRASHES_KEY]
-        if not rows:
-            return (), 0, now_ms
+    def _decode_crashes(self, page):
+        """Return the :class:`monsoonline.core.crashes.CrashReport` items of a page."""
+        rows = [row for row in page.rows if row["key"] == CRASHES_KEY]
         decoded = self._decode_rows(
-            CRASHES_TABLE, rows, lambda _, content: decode_crashes(content, now_ms)
+            CRASHES_KEY, rows, lambda _, content: decode_crashes(content, page.now_ms)
         )
-        return (decoded[0] if decoded else ()), rows[0]["ver"], now_ms
+        return decoded[0] if decoded else ()
 
     def read(self, tables_revision):
         """Return the configuration, if it is newer, and all targets.
@@ -226,30 +234,32 @@
         :returns: :class:`monsoonline.ports.StoredState`
         :raises StoreUnavailable: if a call failed
         """
-        rows, _ = self._read_rows(
+        page = self._read_rows(
             self._read_connection, OPERATOR_TABLE, key=CONFIGURATION_KEY
         )
         revision, tables = 0, None
-        for row in rows:
+        for row in page.rows:
             if row["key"] == CONFIGURATION_KEY:
                 revision = row["ver"]
                 if revision > tables_revision:
                     tables = decode_value(row)
-        rows, listing_revision = self._read_rows(self._read_connection, TARGETS_TABLE)
-        registrations = self._decode_rows(TARGETS_TABLE, rows, decode_registration)
+        page = self._read_rows(self._read_connection, TARGETS_TABLE)
+        registrations = self._decode_rows(TARGETS_TABLE, page.rows, decode_registration)
         return StoredState(
             tables_revision=revision,
             tables=tables,
-            listing=Listing(revision=listing_revision, registrations=registrations),
+            listing=Listing(revision=page.revision, registrations=registrations),
         )
 
     def _read_rows(self, connection, table, *, key=""):
-        """Return rows of a table and the store's revision.
+        """Return the :class:`Rows` of a table.
 
         :param key: key of the only row to read, all rows if empty
         """
         rows = []
-        query = query_of(table, key)
+        query = {"table": table, "part": "", "limit": PAGE_ROWS}
+        if key:
+            query |= {"from": key, "to": key + "\0"}
         revision = None
         while True:
             page = connection.call("GET", "/-/rows-get", query=query)
@@ -258,7 +268,8 @@
             revision = page["ver"] if revision is None else revision
             rows += page["rows"]
             if not page.get("has_more") or not page["rows"]:
-                return rows, revision
+                now_ms = parse_time_ms(str(page.get("now"))) or 0.0
+                return Rows(rows=rows, revision=revision, now_ms=now_ms)
             query["from"] = page["rows"][-1]["key"] + "\0"
 
     def _decode_rows(self, table, rows, decode):
@@ -296,15 +307,6 @@
         self._skipped[table] = skipped
 
 
-def query_of(table, key=""):
-    """Return the query for rows of a table.
-
-    :param key: key of the only row to read, all rows if empty
-    """
-    query = {"table": table, "part": "", "limit": PAGE_ROWS}
-    return query | {"from": key, "to": key + "\0"} if key else query
-
-
 def decode_value(row):
     """Return the bytes of a row's value, empty if they cannot be decoded."""
     try:
--- a/src/monsoonline/ports.py
+++ b/src/monsoonline/ports.py
@@ -184,6 +184,18 @@
     listing: Listing
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class JoinedFleet:
+    """What the entries keep in the shared store.
+
+    :param members: the listed entries
+    :param crashes: reports of requests that crash upstreams
+    """
+
+    members: tuple[FleetMember, ...]
+    crashes: tuple[CrashReport, ...] = ()
+
+
 class SharedStore(Protocol):
     """Shared store of the platform, used by entries without a disk.
 
@@ -191,11 +203,8 @@
     retried.
     """
 
-    def join(self, member: FleetMember) -> tuple[FleetMember, ...]:
-        """Add an entry to the list of entries and return the list."""
-
-    def read_crashes(self) -> tuple[CrashReport, ...]:
-        """Return what is kept of requests that crash upstreams."""
+    def join(self, member: FleetMember) -> JoinedFleet:
+        """Add an entry to the list of entries; return what the entries keep."""
 
     def record_crashes(self, reports: tuple[CrashReport, ...]) -> None:
         """Merge reports into what is kept of requests that crash upstreams."""
--- a/tests/entry/test_crash_recorder.py
+++ b/tests/entry/test_crash_recorder.py
@@ -18,33 +18,23 @@
     def __init__(self, *, failures):
         self.failures = failures
         self.calls = 0
-        self.reports = (CrashReport(fingerprint="known", incidents=("1", "2")),)
+        self.reports = ()
 
-    def _fail(self):
+    def record_crashes(self, reports):
         self.calls += 1
         if self.calls <= self.failures:
             raise StoreUnavailable("status 503, expected 200")
-
-    def read_crashes(self):
-        self._fail()
-        return self.reports
-
-    def record_crashes(self, reports):
-        self._fail()
         self.reports = reports
 
 
 class TestCrashRecorder(unittest.TestCase):
-    """Reading at the start, and writing what was observed."""
+    """What this entry has observed is written, and nothing else."""
 
     def start(self, store):
-        self.gate = mock.Mock()
         tracker = CrashTracker(
             clock=ManualClock(), owner="e", on_change=lambda: recorder.wake()
         )
-        recorder = CrashRecorder(
-            store=store, crashes=tracker, gate=self.gate, metrics=Metrics()
-        )
+        recorder = CrashRecorder(store=store, crashes=tracker, metrics=Metrics())
         self.addCleanup(recorder.close)
         recorder.start()
         return tracker
@@ -54,14 +44,11 @@
             tracker.started(address, fingerprint)
             tracker.connection_lost(address, fingerprint)
 
-    def test_store_that_is_away_delays_what_is_read_and_written(self):
-        """Guards against crashes that are forgotten because a call failed."""
+    def test_crashes_are_forgotten_because_the_store_is_away(self):
+        """Guards against a blocked request that is not written after a failed call."""
         with mock.patch.object(crash_recorder, "RETRY_MS", 5.0):
-            store = FailingStore(failures=2)
+            store = FailingStore(failures=3)
             tracker = self.start(store)
-            self.assertTrue(eventually(lambda: tracker.blocked("known")))
-            self.gate.note_crashes_known.assert_called_once_with()
-            store.failures = store.calls + 2
             self.crash(tracker, "new")
             self.assertTrue(
                 eventually(lambda: [r.fingerprint for r in store.reports] == ["new"])
@@ -71,9 +58,7 @@
         """Guards against a write for each crash; one alone blocks nothing."""
         store = FailingStore(failures=0)
         tracker = self.start(store)
-        self.assertTrue(eventually(lambda: store.calls == 1))
         tracker.started("a:1", "new")
         tracker.connection_lost("a:1", "new")
-        for report in store.reports:
-            tracker.observe(report)
-        self.assertFalse(eventually(lambda: store.calls > 1, within_s=0.1))
+        tracker.observe(CrashReport(fingerprint="other", incidents=("1", "2")))
+        self.assertFalse(eventually(lambda: store.calls, within_s=0.1))
--- a/tests/entry/test_fleet_service.py
+++ b/tests/entry/test_fleet_service.py
@@ -303,7 +303,9 @@
         """Guards against crashes that are known in memory only."""
         self.status(0, "/a/poison")
         self.assertEqual(sorted(self.crashed), ["i1", "i2"])
-        self.assertTrue(eventually(lambda: self.store.rows("monsoonline-crashes")))
+        self.assertTrue(
+            eventually(lambda: "#requests" in self.store.rows("monsoonline-entries"))
+        )
         for entry in self.entries:
             entry.close()
         self.replace_crashed()
--- a/tests/entry/test_read_sharing.py
+++ b/tests/entry/test_read_sharing.py
@@ -84,6 +84,7 @@
         )
         gate = StartGate(clock=self._clock, state=state)
         schedule = ReadSchedule(name=self.own.name)
+        crashes = CrashTracker(clock=self._clock, owner=self.own.name)
         with mock.patch("socket.socket"):
             self.link = FleetLink(
                 address=self.own.peer_address,
@@ -93,7 +94,7 @@
                 schedule=schedule,
                 on_failure=mock.Mock(),
                 on_loads=mock.Mock(),
-                crashes=CrashTracker(clock=self._clock, owner=self.own.name),
+                crashes=crashes,
                 permits=mock.Mock(),
                 gate=gate,
                 metrics=metrics,
@@ -105,6 +106,7 @@
             state=state,
             schedule=schedule,
             link=self.link,
+            crashes=crashes,
             gate=gate,
             metrics=metrics,
         )
--- a/tests/entry/test_store_reader.py
+++ b/tests/entry/test_store_reader.py
@@ -3,6 +3,7 @@
 import unittest
 
 from monsoonline.clock import ManualClock
+from monsoonline.core.crashes import CrashReport, CrashTracker
 from monsoonline.core.fleet import Fleet
 from monsoonline.core.read_schedule import ReadSchedule
 from monsoonline.core.registrations import Listing
@@ -11,7 +12,7 @@
 from monsoonline.entry.store_reader import StoreReader
 from monsoonline.errors import StoreUnavailable
 from monsoonline.metrics import Metrics
-from monsoonline.ports import StoredState
+from monsoonline.ports import JoinedFleet, StoredState
 from tests.core.test_fleet import member
 from tests.core.test_registrations import registration
 
@@ -25,6 +26,12 @@
         self.available = True
         self.revision = 1
 
+    def join(self, own):
+        if not self.available:
+            raise StoreUnavailable("status 503, expected 200")
+        report = CrashReport(fingerprint="bad", incidents=("1", "2"))
+        return JoinedFleet(members=(own,), crashes=(report,))
+
     def read(self, tables_revision):
         if not self.available:
             raise StoreUnavailable("status 503, expected 200")
@@ -41,9 +48,12 @@
 class DiscardingLink:
     """Link that discards all notices."""
 
-    def send_read_notice(self, read_age_ms, delta):
+    def send_read_notice(self, read_at, delta):
         """Discard a read notice."""
 
+    def announce(self):
+        """Discard a heartbeat."""
+
 
 class TestStoreReader(unittest.TestCase):
     """Log lines at the start and the end of a store outage."""
@@ -58,14 +68,17 @@
             on_registrations=lambda registrations: None,
             metrics=metrics,
         )
+        self.crashes = CrashTracker(clock=self.clock, owner="own")
+        self.gate = StartGate(clock=self.clock, state=state)
         self.reader = StoreReader(
             clock=self.clock,
             store=self.store,
             fleet=Fleet(own=member("own")),
             state=state,
-            gate=StartGate(clock=self.clock, state=state),
+            gate=self.gate,
             schedule=ReadSchedule(name="own"),
             link=DiscardingLink(),
+            crashes=self.crashes,
             metrics=metrics,
         )
 
@@ -74,6 +87,14 @@
         self.clock.advance(duration_ms)
         self.reader._read()
 
+    def test_entry_that_joins_sends_a_blocked_request(self):
+        """Guards against an entry that serves before it knows the blocked requests."""
+        self.read_after(0.0, available=True)
+        self.assertFalse(self.gate.open)
+        self.reader._join()
+        self.assertTrue(self.crashes.blocked("bad"))
+        self.assertTrue(self.gate.open)
+
     def test_outage_is_logged_at_its_start_and_end(self):
         """Guards against one log line for each failed read, which fills the logs."""
         self.read_after(0.0, available=True)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -40,13 +40,16 @@
         self.assertEqual([r.instance for r in registrations], ["i1"])
         self.assertGreater(stored.listing.revision, revision)
 
+    def kept_crashes(self):
+        return self.store.join(member("own")).crashes
+
     def test_crashes_of_several_writers_are_merged(self):
         first = CrashReport(fingerprint="f", incidents=("1", "2"), age_ms=3_000.0)
         second = CrashReport(fingerprint="f", incidents=("3",), cleared=("1",))
-        self.assertEqual(self.store.read_crashes(), ())
+        self.assertEqual(self.kept_crashes(), ())
         self.store.record_crashes((first,))
         self.store.record_crashes((second,))
-        (report,) = self.store.read_crashes()
+        (report,) = self.kept_crashes()
         self.assertEqual(report.incidents, {"1", "2", "3"})
         self.assertEqual(report.cleared, {"1"})
         self.assertLess(report.age_ms, 2_000.0)
@@ -56,7 +59,7 @@
         report = CrashReport(fingerprint="f", incidents=("1", "2"), age_ms=3_000.0)
         self.store.record_crashes((report,))
         time.sleep(0.05)
-        (stored,) = self.store.read_crashes()
+        (stored,) = self.kept_crashes()
         self.assertGreaterEqual(stored.age_ms, 3_040.0)
         self.assertLess(stored.age_ms, 5_000.0)
 
@@ -65,22 +68,22 @@
         reports = [
             CrashReport(fingerprint=name, incidents=("1", "2")) for name in ("f", "g")
         ]
-        read = PlatformStore._read_crashes
+        read = PlatformStore._read_rows
 
-        def read_before_the_other(own):
-            found = read(own)
+        def read_before_the_other(own, *args, **kwargs):
+            found = read(own, *args, **kwargs)
             other = PlatformStore(address=self.standin.address)
-            with mock.patch.object(PlatformStore, "_read_crashes", read):
+            with mock.patch.object(PlatformStore, "_read_rows", read):
                 other.record_crashes(reports[:1])
             return found
 
         with (
-            mock.patch.object(PlatformStore, "_read_crashes", read_before_the_other),
+            mock.patch.object(PlatformStore, "_read_rows", read_before_the_other),
             self.assertRaises(StoreUnavailable),
         ):
             self.store.record_crashes(reports[1:])
         self.store.record_crashes(reports[1:])
-        found = {report.fingerprint for report in self.store.read_crashes()}
+        found = {report.fingerprint for report in self.kept_crashes()}
         self.assertEqual(found, {"f", "g"})
 
     def test_unreadable_crashes_are_replaced(self):
@@ -95,10 +98,10 @@
             b"[" * 5_000,
         ):
             with self.subTest(content[:40]):
-                self.standin.write("monsoonline-crashes", "requests", content)
-                self.assertEqual(self.store.read_crashes(), ())
+                self.standin.write("monsoonline-entries", "#requests", content)
+                self.assertEqual(self.kept_crashes(), ())
                 self.store.record_crashes((report,))
-                self.assertEqual(len(self.store.read_crashes()), 1)
+                self.assertEqual(len(self.kept_crashes()), 1)
 
     def test_odd_row_hides_no_other_row(self):
         """Guards against a row of another writer that stops all reads of the store."""
@@ -142,7 +145,7 @@
     def test_odd_rows_of_entries_hide_no_other_entry(self):
         for key, content in (("x", b"[" * 5_000), ("y", b'{"zone": NaN}')):
             self.standin.write("monsoonline-entries", key, content)
-        members = self.store.join(member("a"))
+        members = self.store.join(member("a")).members
         self.assertEqual([m.name for m in members], ["a"])
 
     def test_configuration_with_a_known_revision_is_not_returned(self):
@@ -158,7 +161,7 @@
     def test_join_is_idempotent_and_returns_all_entries(self):
         self.store.join(member("a"))
         self.store.join(member("a"))
-        members = self.store.join(member("b"))
+        members = self.store.join(member("b")).members
         self.assertEqual([m.name for m in members], ["a", "b"])
 
     def test_failures_raise_store_unavailable_and_the_next_call_works(self):
