Count and log reads of the store that return an older state

Neither logs nor metrics could distinguish a store that comes back from an older copy from one without changes: reads succeed, their age stays small, and their result is dropped as stale without a trace. What is done with them is unchanged.

The new test fails without the lines; the other hypotheses show in lines that exist (apply_ms, findings of invalid tables, revisions and ages in refusals).

--- a/src/monsoonline/entry/store_reader.py
+++ b/src/monsoonline/entry/store_reader.py
@@ -51,6 +51,8 @@
         # Clock time in ms of the first failure since the last successful read.
         self._outage_started_at = None
         self._last_read_started_at = None
+        # Whether the last read returned an older state than the one in effect.
+        self._store_is_older = False
         self._joined = False
 
     @property
@@ -118,6 +120,7 @@
         return self._last_read_started_at + STARTUP_READ_INTERVAL_MS - now
 
     def _read(self):
+        known_revision = self._state.registrations_revision
         started = self._last_read_started_at = self._clock.boot()
         self._schedule.record_attempt(started)
         try:
@@ -140,6 +143,7 @@
         ms_since_failure = (
             None if self._last_failure_at is None else now - self._last_failure_at
         )
+        self._note_order(stored.listing.revision, known_revision)
         self._gate.note_revision(stored.tables_revision)
         if stored.tables is not None:
             self._state.use_tables(stored.tables_revision, stored.tables)
@@ -152,3 +156,17 @@
         self._schedule.record_read(started)
         self._gate.note_read(started)
         self._link.send_read_notice(started, delta)
+
+    def _note_order(self, revision, known_revision):
+        """Count a read that returned an older state than one known before it began."""
+        older = revision < known_revision
+        if older:
+            self._metrics.count("store_older_reads_total")
+        if older != self._store_is_older:
+            self._store_is_older = older
+            logger.warning(
+                "store older than the state in effect"
+                if older
+                else "store as new as the state in effect again",
+                extra={"revision": revision, "known_revision": known_revision},
+            )
--- a/tests/entry/test_store_reader.py
+++ b/tests/entry/test_store_reader.py
@@ -61,7 +61,7 @@
     def setUp(self):
         self.clock = ManualClock()
         self.store = SwitchedStore()
-        metrics = Metrics()
+        self.metrics = metrics = Metrics()
         state = SharedState(
             decode_tables=lambda content, revision: content,
             on_tables=lambda tables: None,
@@ -82,6 +82,23 @@
             metrics=metrics,
         )
 
+    def test_reads_of_an_older_state_are_counted_and_logged_once(self):
+        """Guards against a restored store that looks like one without changes."""
+        self.read_after(0.0, available=True)
+        self.read_after(700.0, available=True)
+        self.store.revision = 0
+        with self.assertLogs(LOGGER, "WARNING") as captured:
+            for _ in range(4):
+                self.read_after(700.0, available=True)
+        self.assertEqual(
+            [(record.message, record.revision) for record in captured.records],
+            [
+                ("store older than the state in effect", 1),
+                ("store as new as the state in effect again", 3),
+            ],
+        )
+        self.assertEqual(self.metrics.value("store_older_reads_total"), 2)
+
     def read_after(self, duration_ms, *, available):
         self.store.available = available
         self.clock.advance(duration_ms)
