Let the stand-in of the store come back from an older copy

Cause: in a drill the store comes back from a copy some seconds old: its versions go back and are given out again, and Store-Era rises by one. The stand-in could not play that, so no test could show what an entry makes of it.

Change: take_copy() and restore(copy) of RowStoreStandIn replace rows, changes and the version together. A feed from a version that was not given out since gets 410, also one that waits at that moment. With the option era, each response has Store-Era; a call holds the lock of the tables until its response has its era, so none has the rows of one era and the number of another. Responses that the HTTP server makes for malformed requests or after an exception have none.

--- a/src/monsoonline/standin/row_store.py
+++ b/src/monsoonline/standin/row_store.py
@@ -31,6 +31,7 @@
 # Maximum number of object names or parts in a response.
 MAX_NAMES = 1_000
 READ_ONLY_TABLES = ("op", "servers")
+ERA_HEADER = "Store-Era"
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -63,13 +64,21 @@
     :param port: port to listen on; 0 selects a free one
     :param writes_per_s: maximum rate of writes over all callers; ``None`` for no limit
     :param reads_per_s: maximum rate of reads over all callers; ``None`` for no limit
+    :param era: number sent in the header ``Store-Era`` of all responses, which
+        :meth:`restore` increments; ``None`` to send none
     """
 
     def __init__(
-        self, *, host="127.0.0.1", port=0, writes_per_s=None, reads_per_s=None
+        self,
+        *,
+        host="127.0.0.1",
+        port=0,
+        writes_per_s=None,
+        reads_per_s=None,
+        era=None,
     ):
         self.faults = RowStoreFaults()
-        self._tables = RowTables()
+        self._tables = RowTables(era=era)
         self._objects = {}
         self._calls = 0
         self._rate_limiters = {
@@ -119,6 +128,17 @@
         """Discard the change history, as the platform may at any time."""
         self._tables.discard_history()
 
+    def take_copy(self):
+        """Return a copy of the rows, for :meth:`restore`."""
+        return self._tables.take_copy()
+
+    def restore(self, copy):
+        """Go back to a copy, as in a drill; objects stay.
+
+        Versions after that of the copy are given out again.
+        """
+        self._tables.restore(copy)
+
     def rows(self, table):
         """Return a mapping from key to decoded value of all rows in a table."""
         return {
@@ -131,12 +151,12 @@
         if faults.delay_ms:
             time.sleep(faults.delay_ms / 1e3)
         if faults.status is not None:
-            return Answer(status=faults.status)
+            return self._with_era(Answer(status=faults.status))
         if faults.should_refuse is not None and faults.should_refuse(request):
-            return Answer(status=faults.refusal_status)
+            return self._with_era(Answer(status=faults.refusal_status))
         is_write = request.method != "GET"
         if not self._rate_limiters[is_write].try_acquire():
-            return Answer(status=429)
+            return self._with_era(Answer(status=429))
         if is_write and faults.write_delay_ms:
             timer = threading.Timer(
                 faults.write_delay_ms / 1e3, self._serve, args=(request,)
@@ -164,7 +184,16 @@
             ("GET", "blob-list"): lambda: self._list_objects(query),
         }
         handler = handlers.get((request.method, path))
-        return handler() if handler else Answer(status=404)
+        # Holding the lock keeps a restoration from separating rows and era.
+        with self._tables.lock:
+            return self._with_era(handler() if handler else Answer(status=404))
+
+    def _with_era(self, response):
+        era = self._tables.era
+        if era is None:
+            return response
+        headers = (*response.headers, (ERA_HEADER, str(era)))
+        return dataclasses.replace(response, headers=headers)
 
     def _get(self, query):
         rows, more, version = self._tables.select(
--- a/src/monsoonline/standin/row_table.py
+++ b/src/monsoonline/standin/row_table.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-__all__ = ["Conflict", "HistoryUnavailable", "RowTables", "StoredRow"]
+__all__ = ["Conflict", "HistoryUnavailable", "RowTables", "RowsCopy", "StoredRow"]
 
 # Maximum number of rows in a response.
 MAX_ROWS = 500
@@ -21,6 +21,22 @@
     ver: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RowsCopy:
+    """The state of all tables at one version.
+
+    :param rows: the :class:`StoredRow` items by id
+    :param changes: the changes available at that version
+    :param history_start: version after which these changes begin
+    :param version: the version
+    """
+
+    rows: dict
+    changes: tuple
+    history_start: int
+    version: int
+
+
 class Conflict(Exception):
     """The version of a row differs from the one that a transaction expects.
 
@@ -39,15 +55,32 @@
 
 
 class RowTables:
-    """Rows by table, part and key; each transaction increments the version."""
+    """Rows by table, part and key; each transaction increments the version.
 
-    def __init__(self):
+    :param era: number that each restoration increments; ``None`` for none
+    """
+
+    def __init__(self, *, era=None):
         self._rows = {}
         # Pairs of version and written row, or version and id of a removed row.
         self._changes = []
         self._history_start = 0
         self._version = 0
-        self._changed = threading.Condition()
+        self._era = era
+        self._changed = threading.Condition(threading.RLock())
+
+    @property
+    def lock(self):
+        """Reentrant lock under which rows, version and era stay as they are.
+
+        A wait for changes releases it.
+        """
+        return self._changed
+
+    @property
+    def era(self):
+        """The era, ``None`` for none."""
+        return self._era
 
     @property
     def version(self):
@@ -120,12 +153,34 @@
             self._changes.clear()
             self._history_start = self._version
 
+    def take_copy(self):
+        """Return a :class:`RowsCopy` of the present state."""
+        with self._changed:
+            return RowsCopy(
+                rows=dict(self._rows),
+                changes=tuple(self._changes),
+                history_start=self._history_start,
+                version=self._version,
+            )
+
+    def restore(self, copy):
+        """Replace rows, changes and version by those of a copy; start a new era."""
+        with self._changed:
+            self._rows = dict(copy.rows)
+            self._changes = list(copy.changes)
+            self._history_start = copy.history_start
+            self._version = copy.version
+            if self._era is not None:
+                self._era += 1
+            self._changed.notify_all()
+
     def changes(self, table, *, after, wait_s=0.0):
         """Return the changes of a table after a version, waiting for the first one.
 
         :param wait_s: maximum time to wait in s
         :returns: a list of written rows and ids of removed rows, and the version
-        :raises HistoryUnavailable: when these changes have been discarded
+        :raises HistoryUnavailable: when these changes have been discarded, or when the
+            version has not been given out since the last restoration
         """
         wait_until = time.monotonic() + wait_s
         with self._changed:
@@ -135,6 +190,10 @@
                         f"history starts at version {self._history_start}, "
                         f"requested {after}"
                     )
+                if after > self._version:
+                    raise HistoryUnavailable(
+                        f"the latest version is {self._version}, requested {after}"
+                    )
                 found = [c for ver, c in self._changes if ver > after]
                 found = [c for c in found if table_of(c) == table]
                 remaining_s = wait_until - time.monotonic()
--- a/tests/standin/test_row_store.py
+++ b/tests/standin/test_row_store.py
@@ -2,10 +2,11 @@
 
 import http.client
 import json
+import threading
 import time
 import unittest
 
-from monsoonline.standin.row_store import RowStoreStandIn
+from monsoonline.standin.row_store import RowStoreFaults, RowStoreStandIn
 
 ROW = {"table": "t", "part": "", "key": "a", "value": "eA=="}
 
@@ -22,7 +23,10 @@
         self.start()
 
     def call(self, method, path, *, body=b"", headers=None):
-        """Return status and decoded body, or ``None`` if the response is lost."""
+        """Return status and decoded body, or ``None`` if the response is lost.
+
+        The era in the response is kept in ``self.era``.
+        """
         host, _, port = self.store.address.rpartition(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=5)
         try:
@@ -33,6 +37,7 @@
             return None
         finally:
             connection.close()
+        self.era = response.getheader("Store-Era")
         is_json = response.getheader("Content-Type") == "application/json"
         return response.status, json.loads(content) if is_json else content
 
@@ -119,3 +124,91 @@
         self.assertEqual(document["names"], ["x1"])
         self.assertEqual(self.call("DELETE", "blob-drop/x1")[0], 200)
         self.assertEqual(self.call("GET", "blob-get/x1")[0], 404)
+
+    def test_no_era_is_sent_unless_one_is_set(self):
+        self.call("GET", "rows-get?table=t")
+        self.assertIsNone(self.era)
+        self.store.restore(self.store.take_copy())
+        self.call("GET", "rows-get?table=t")
+        self.assertIsNone(self.era)
+
+    def test_era_is_in_all_responses(self):
+        """Guards against an era that is missing in errors."""
+        self.start(era=7, writes_per_s=3)
+        for method, path, body, expected in (
+            ("GET", "rows-get?table=t", b"", 200),
+            ("GET", "rows-feed?table=t&after=9", b"", 410),
+            ("GET", "blob-get/x1", b"", 404),
+            ("GET", "unknown", b"", 404),
+            ("POST", "rows-tx", json.dumps({"put": [ROW]}).encode(), 200),
+            ("POST", "rows-tx", b'{"put": [{"table": "op"}]}', 403),
+            (
+                "POST",
+                "rows-tx",
+                json.dumps({"expected_revision": [{**ROW, "ver": 9}]}).encode(),
+                412,
+            ),
+            ("POST", "rows-tx", b"{}", 429),
+        ):
+            with self.subTest(path=path, expected=expected):
+                status, _ = self.call(method, path, body=body)
+                self.assertEqual((status, self.era), (expected, "7"))
+        self.store.faults.status = 503
+        status, _ = self.call("GET", "rows-get?table=t")
+        self.assertEqual((status, self.era), (503, "7"))
+        self.store.faults = RowStoreFaults(should_refuse=lambda request: True)
+        status, _ = self.call("GET", "rows-get?table=t")
+        self.assertEqual((status, self.era), (503, "7"))
+
+    def test_restored_copy_replaces_rows_and_gives_versions_out_again(self):
+        self.start(era=1)
+        _, first = self.transact(put=[ROW])
+        copy = self.store.take_copy()
+        self.transact(remove=[ROW])
+        _, lost = self.transact(put=[{**ROW, "key": "b"}])
+        self.store.restore(copy)
+        _, page = self.call("GET", "rows-get?table=t")
+        self.assertEqual(self.era, "2")
+        self.assertEqual([row["key"] for row in page["rows"]], ["a"])
+        self.assertEqual(page["ver"], first["ver"])
+        _, second = self.transact(put=[{**ROW, "key": "c"}])
+        _, third = self.transact(put=[{**ROW, "key": "d"}])
+        self.assertEqual(second["ver"], first["ver"] + 1)
+        self.assertEqual(third["ver"], lost["ver"])
+        _, feed = self.call("GET", "rows-feed?table=t&after=0")
+        self.assertEqual([row["key"] for row in feed["rows"]], ["a", "c", "d"])
+
+    def test_copy_can_be_restored_again_after_writes(self):
+        self.start(era=1)
+        self.transact(put=[ROW])
+        copy = self.store.take_copy()
+        for era in ("2", "3"):
+            self.store.restore(copy)
+            _, feed = self.call("GET", "rows-feed?table=t&after=0")
+            self.assertEqual((self.era, len(feed["rows"])), (era, 1))
+            self.transact(put=[{**ROW, "key": "b"}])
+
+    def test_feed_from_a_version_that_was_lost_is_refused(self):
+        _, first = self.transact(put=[ROW])
+        copy = self.store.take_copy()
+        _, lost = self.transact(put=[{**ROW, "key": "b"}])
+        self.store.restore(copy)
+        status, _ = self.call("GET", f"rows-feed?table=t&after={lost['ver']}")
+        self.assertEqual(status, 410)
+        status, feed = self.call("GET", f"rows-feed?table=t&after={first['ver']}")
+        self.assertEqual((status, feed["rows"]), (200, []))
+
+    def test_waiting_feed_learns_of_a_restored_copy(self):
+        """Guards against a feed that waits for a version that was lost."""
+        self.start(era=1)
+        copy = self.store.take_copy()
+        _, lost = self.transact(put=[ROW])
+        timer = threading.Timer(0.2, self.store.restore, args=(copy,))
+        timer.start()
+        self.addCleanup(timer.join)
+        started = time.monotonic()
+        status, _ = self.call(
+            "GET", f"rows-feed?table=t&after={lost['ver']}&wait_ms=4000"
+        )
+        self.assertEqual((status, self.era), (410, "2"))
+        self.assertLess(time.monotonic() - started, 3.0)
