Look for the end of a chunked response in one loop

Seen: test_response_without_end_hides_the_response_to_a_hedge and its counterpart for hedges failed beside load, in 2 of 8 runs (four at a time, load 8 to 15) on an unchanged tree: a request whose first upstream sends chunks of one byte without end got 504 at its deadline of 600 ms, instead of the ready response of the second.

Cause: until the limit of 131,072 chunks the scanner makes several calls for each chunk, 0.26 to 0.34 s of the processor for the whole response (three sizes of reads, beside load). Other attempts of the request are not served meanwhile.

Change: one loop with local variables matches the chunk lines where they are, without copying them: 0.16 to 0.25 s for the same responses. What is refused is the same.

Evidence: the tests of the assembler pass. In 12 runs beside load (14 to 17) one still failed: the faulty upstream shares the interpreter of the test with the relay.

--- a/src/monsoonline/adapters/response_assembly.py
+++ b/src/monsoonline/adapters/response_assembly.py
@@ -108,28 +108,50 @@
         :param content: all bytes of the response so far
         :raises FramingError: when a chunk line is not valid, or there are too many
         """
-        while self._trailers_start is None:
-            if self._position >= len(content):
-                return None
-            line = self._next_line(content, MAX_CHUNK_LINE_BYTES)
+        if self._trailers_start is None and not self._find_trailers(content):
+            return None
+        return self._find_end_of_trailers(content)
+
+    def _find_trailers(self, content):
+        """Return whether the last chunk has arrived.
+
+        Attributes are kept in local variables, since chunks may be as small as a byte.
+        """
+        position, chunks, body_bytes = self._position, self._chunks, self._body_bytes
+        max_bytes, match_line = self._max_bytes, CHUNK_SIZE.match
+        size = None
+        while size != 0:
+            line = match_line(content, position, position + MAX_CHUNK_LINE_BYTES)
             if line is None:
-                return None
-            match = CHUNK_SIZE.fullmatch(line)
-            if match is None:
-                raise FramingError(f"invalid chunk size line {line[:80]!r}")
-            self._chunks += 1
-            if self._chunks > MAX_CHUNKS:
-                raise FramingError(f"the response has more than {MAX_CHUNKS} chunks")
-            self._position += len(line)
-            size = int(match[1], 16)
-            self._body_bytes += size
-            if self._body_bytes > self._max_bytes:
-                raise too_large(self._max_bytes)
+                break
+            chunks += 1
+            size = int(line[1], 16)
+            body_bytes += size
+            if chunks > MAX_CHUNKS or body_bytes > max_bytes:
+                break
+            position = line.end()
             if size:
-                self._position += size + len(b"\r\n")
-            else:
-                self._trailers_start = self._position
-        return self._find_end_of_trailers(content)
+                position += size + len(b"\r\n")
+        self._position, self._chunks, self._body_bytes = position, chunks, body_bytes
+        if chunks > MAX_CHUNKS:
+            raise FramingError(f"the response has more than {MAX_CHUNKS} chunks")
+        if body_bytes > max_bytes:
+            raise too_large(max_bytes)
+        if size != 0:
+            self._check_incomplete_line(content)
+            return False
+        self._trailers_start = position
+        return True
+
+    def _check_incomplete_line(self, content):
+        """Check what has arrived of a chunk line.
+
+        :raises FramingError: when the line is complete, and so not valid, or too long
+        """
+        if self._position < len(content):
+            line = self._next_line(content, MAX_CHUNK_LINE_BYTES)
+            if line is not None:
+                raise FramingError(f"invalid chunk size line {line[:80]!r}")
 
     def _find_end_of_trailers(self, content):
         while True:
