--- a/src/monsoonline/adapters/fleet_codec.py
+++ b/src/monsoonline/adapters/fleet_codec.py
@@ -22,6 +22,8 @@
     RegistrationDelta,
     is_instance,
 )
+from monsoonline.core.restored_registrations import Removal
+from monsoonline.core.store_revisions import MAX_ERA
 from monsoonline.core.strict_json import parse_strict_json
 from monsoonline.types import LoadReport
 
@@ -172,6 +174,23 @@
     )
 
 
+def pack_removals(removals):
+    """Return :class:`Removal` items as lists."""
+    return [[item.instance, item.born_ms, item.era] for item in removals]
+
+
+def unpack_removals(rows=()):
+    """Return the :class:`Removal` items packed in lists."""
+    return tuple(
+        Removal(
+            instance=unpack_text(instance),
+            born_ms=unpack_integer(born_ms),
+            era=unpack_integer(era, maximum=MAX_ERA),
+        )
+        for instance, born_ms, era in rows
+    )
+
+
 def pack_limit_age(observed):
     """Return a :class:`LimitAge` as a list, with ages in whole milliseconds.
 
@@ -567,6 +586,8 @@
             else [pack_registration(item) for item in registrations],
             state.read_age_ms,
             pack_ages(state.members),
+            # Entries of earlier versions, which do not ask for removals, expect none.
+            *([pack_removals(state.removals)] if state.removals else ()),
         ]
     )
 
@@ -578,9 +599,8 @@
     """
     document = decompress(content)
     try:
-        tables_revision, tables, revision, registrations, read_age_ms, members = (
-            document
-        )
+        tables_revision, tables, revision, registrations, *others = document
+        read_age_ms, members, *removals = others
         return messages.SharedStateCopy(
             tables_revision=unpack_integer(tables_revision),
             tables=unpack_tables(tables),
@@ -590,6 +610,7 @@
             else tuple(unpack_registration(row) for row in registrations),
             read_age_ms=unpack_optional(read_age_ms),
             members=unpack_ages(members),
+            removals=unpack_removals(*removals),
         )
     except INVALID_VALUE_ERRORS as error:
         raise ValueError(f"invalid state of an entry: {error!r}") from error
--- a/src/monsoonline/core/crashes.py
+++ b/src/monsoonline/core/crashes.py
@@ -321,6 +321,21 @@
             fingerprints, self._unrecorded = self._unrecorded, {}
             return self._reports(f for f in fingerprints if f in self._suspects)
 
+    def record_again(self):
+        """Record all blocked requests that this entry has observed.
+
+        The store may have lost what it kept of them.
+        """
+        with self._lock:
+            self._unrecorded |= {
+                fingerprint: None
+                for fingerprint, suspect in self._suspects.items()
+                if suspect.observed and suspect.uncleared_count >= CRASHES_TO_BLOCK
+            }
+            unrecorded = bool(self._unrecorded)
+        if unrecorded:
+            self._on_change()
+
     def restore_unrecorded(self, reports):
         """Return the reports with the next call again, as they are then."""
         with self._lock:
--- a/src/monsoonline/core/decision_events.py
+++ b/src/monsoonline/core/decision_events.py
@@ -25,6 +25,7 @@
     :param route: name of the route
     :param pool: name of the pool
     :param tables_revision: revision of the tables used for the match
+    :param tables_era: era of the store that issued the revision
     """
 
     message = "route matched"
@@ -32,6 +33,7 @@
     route: str
     pool: str
     tables_revision: int
+    tables_era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -103,6 +105,7 @@
         retry
     :param reason: human-readable explanation
     :param tables_revision: revision of the tables in effect, 0 before the first
+    :param tables_era: era of the store that issued the revision
     :param tables_age_ms: time since they came into effect, ``None`` before the first
     :param read_age_ms: age of the newest read of the store that this entry knows of,
         its own or another's, ``None`` without one
@@ -115,6 +118,7 @@
     retry_after_ms: float | None
     reason: str
     tables_revision: int = 0
+    tables_era: int = 0
     tables_age_ms: float | None = None
     read_age_ms: float | None = None
 
--- a/src/monsoonline/core/fleet_messages.py
+++ b/src/monsoonline/core/fleet_messages.py
@@ -8,6 +8,7 @@
 from monsoonline.core.fleet import FleetMember, MemberAge
 from monsoonline.core.peer_reads import Reader
 from monsoonline.core.registrations import Registration, RegistrationDelta
+from monsoonline.core.restored_registrations import Removal
 from monsoonline.core.upstream_limits import LimitObservation
 from monsoonline.types import LoadReport
 
@@ -130,6 +131,8 @@
     :param registrations: all registrations, ``None`` if the requesting entry has them
     :param read_age_ms: age of the newest known read of the store
     :param members: all members known to the sending entry
+    :param removals: upstreams that were removed lately, empty if the requesting entry
+        knows them
     """
 
     tables_revision: int
@@ -138,6 +141,7 @@
     registrations: tuple[Registration, ...] | None
     read_age_ms: float | None
     members: tuple[MemberAge, ...]
+    removals: tuple[Removal, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/monsoonline/core/model.py
+++ b/src/monsoonline/core/model.py
@@ -191,12 +191,15 @@
     :param routes: routes by name
     :param pools: pools by name
     :param limits: limits of callers' requests and connections
+    :param edition: number that the operator gives to successive tables, ``None`` if
+        there is none
     """
 
     revision: int = 0
     routes: dict[str, Route] = dataclasses.field(default_factory=dict)
     pools: dict[str, Pool] = dataclasses.field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    edition: int | None = None
 
     @cached_property
     def checksum(self):
--- a/src/monsoonline/core/registrations.py
+++ b/src/monsoonline/core/registrations.py
@@ -5,6 +5,7 @@
 import re
 
 __all__ = [
+    "EXPIRY_GRACE_MS",
     "MAX_SLOTS",
     "Listing",
     "Registration",
--- /dev/null
+++ b/src/monsoonline/core/tables_order.py
@@ -0,0 +1,91 @@
+"""Order of the tables that the store and other entries provide."""
+
+import enum
+
+from monsoonline.core.store_revisions import StoreRevision
+
+__all__ = ["TABLES_HOLD_MS", "Decision", "TablesOrder"]
+
+# Time after the start of an era in which the operator writes again what the store has
+# lost. An operator that has not done so by then has returned to older tables.
+TABLES_HOLD_MS = 60_000.0
+
+
+class Decision(enum.Enum):
+    """What to do with tables."""
+
+    USE = enum.auto()
+    POSTPONE = enum.auto()
+
+
+class TablesOrder:
+    """Decides which tables take effect.
+
+    Within one era of the store, newer revisions replace older ones. A store that was
+    restored from a copy has lost the newest tables, until the operator writes them
+    again. Between eras the editions therefore decide, which the operator numbers.
+
+    :param eras: :class:`monsoonline.core.store_revisions.EraWatch`
+    """
+
+    def __init__(self, *, eras):
+        self._eras = eras
+        self._revision = StoreRevision(0)
+        self._edition = None
+        # Newest revision of each era that is in effect, postponed or invalid.
+        self._decided = {}
+
+    @property
+    def revision(self):
+        """Revision in effect, 0 before the first."""
+        return self._revision
+
+    @property
+    def edition(self):
+        """Edition in effect, ``None`` if the operator gives none."""
+        return self._edition
+
+    def lacks(self, revision, now):
+        """Return whether tables may have to take effect.
+
+        :param revision: their revision
+        :param now: current time in ms
+        """
+        revision = StoreRevision(revision)
+        if self._revision and self._hold_is_over(now):
+            if revision.era > self._revision.era:
+                return True
+            if revision.era < self._eras.era:
+                return False
+        return revision > self._decided.get(revision.era, 0)
+
+    def decide(self, revision, edition, now):
+        """Return the :class:`Decision` on valid tables that this entry lacks.
+
+        :param revision: their revision
+        :param edition: their edition, ``None`` without one
+        :param now: current time in ms
+        """
+        era = StoreRevision(revision).era
+        if not self._revision or era == self._revision.era:
+            return Decision.USE
+        editions = (edition, self._edition)
+        if None in editions or edition == self._edition or self._hold_is_over(now):
+            newer = era > self._revision.era
+        else:
+            newer = edition > self._edition
+        return Decision.USE if newer else Decision.POSTPONE
+
+    def note_used(self, revision, edition):
+        """Record that tables are in effect."""
+        self._revision, self._edition = StoreRevision(revision), edition
+        self.note_decided(revision)
+
+    def note_decided(self, revision):
+        """Record that tables are postponed or invalid."""
+        revision = StoreRevision(revision)
+        known = self._decided.get(revision.era, 0)
+        self._decided[revision.era] = max(known, revision)
+
+    def _hold_is_over(self, now):
+        return self._eras.ms_since_seen(now) > TABLES_HOLD_MS
--- a/src/monsoonline/entry/fleet_link.py
+++ b/src/monsoonline/entry/fleet_link.py
@@ -62,6 +62,8 @@
 CLOSE_TIMEOUT_MS = 200.0
 INCARNATION_BITS = 32
 STATE_PATH = "/fleet/state"
+# Value of a query parameter that asks for a part of the state.
+INCLUDED = "1"
 
 logger = logging.getLogger(__name__)
 
@@ -126,6 +128,8 @@
         self._failures = []
         self._lock = threading.Lock()
         self._fetch_from = None
+        # Whether a state of another entry has been fetched since the start.
+        self._removals_known = False
         self._fetch_requested = threading.Event()
         self._receiver = None
 
@@ -239,6 +243,7 @@
             digest=query.get("registrations", ""),
             read_age_ms=self._read_age_ms(),
             members=self._all_member_ages(),
+            include_removals=query.get("removals") == INCLUDED,
         )
         # Entries of earlier versions read plain tables only.
         compressed = query.get("compression") == TABLES_COMPRESSION
@@ -262,6 +267,7 @@
                 "registrations": self._state.registrations_digest,
                 "compression": TABLES_COMPRESSION,
             }
+            | ({} if self._removals_known else {"removals": INCLUDED})
         )
         requested_at = self._clock.boot()
         try:
@@ -279,6 +285,7 @@
             return False
         finally:
             connection.close()
+        self._removals_known = True
         self._metrics.count("state_transfers_total")
         now = self._clock.now()
         for item in copy.members:
@@ -371,16 +378,17 @@
         state = self._state
         newer = heartbeat.registrations_revision > state.registrations_revision
         differs = heartbeat.registrations_digest != state.registrations_digest
-        if heartbeat.tables_revision > state.tables_revision or (newer and differs):
+        if state.lacks_tables(heartbeat.tables_revision) or (newer and differs):
             self._request_fetch(heartbeat.sender)
 
     def _handle_read_notice(self, notice):
         reader = Reader(name=notice.sender.name, incarnation=notice.incarnation)
         self._gate.note_revision(notice.tables_revision)
         applied = self._state.use_delta(notice.delta)
-        if not applied or notice.tables_revision > self._state.tables_revision:
+        lacks_tables = self._state.lacks_tables(notice.tables_revision)
+        if not applied or lacks_tables:
             self._request_fetch(notice.sender)
-        if applied and notice.tables_revision <= self._state.decided_revision:
+        else:
             self._peer_reads.note_read(reader, notice.read_at)
             self._record_peer_reads()
         now = self._clock.boot()
--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -276,7 +276,8 @@
                     status=status,
                     retry_after_ms=refusal.retry_after_ms,
                     reason=str(refusal),
-                    tables_revision=self._pools.tables_revision,
+                    tables_revision=self._pools.tables_revision.version,
+                    tables_era=self._pools.tables_revision.era,
                     tables_age_ms=self._pools.tables_age_ms,
                     read_age_ms=self._read_age_ms(),
                 )
@@ -335,7 +336,8 @@
             RouteMatched(
                 route=route.name,
                 pool=pool.pool.name,
-                tables_revision=self._pools.tables_revision,
+                tables_revision=self._pools.tables_revision.version,
+                tables_era=self._pools.tables_revision.era,
             )
         )
         started = self._clock.now()
--- a/src/monsoonline/entry/served_pools.py
+++ b/src/monsoonline/entry/served_pools.py
@@ -10,6 +10,7 @@
 from monsoonline.core.probe_allowance import ProbeAllowance
 from monsoonline.core.retry_budget import RetryBudget
 from monsoonline.core.routing import RouteTable
+from monsoonline.core.store_revisions import StoreRevision
 from monsoonline.core.upstream_view import UpstreamView
 from monsoonline.types import AttemptKind
 
@@ -103,7 +104,7 @@
     @property
     def tables_revision(self):
         """Revision of the tables in effect, 0 before the first ones."""
-        return 0 if self._tables is None else self._tables.revision
+        return StoreRevision(0 if self._tables is None else self._tables.revision)
 
     @property
     def tables_age_ms(self):
@@ -121,10 +122,12 @@
         return self._pools.get(name)
 
     def use_tables(self, tables):
-        """Apply newly accepted tables; older revisions are ignored."""
+        """Apply tables.
+
+        They may have an older revision than those in effect, see
+        :class:`monsoonline.core.tables_order.TablesOrder`.
+        """
         with self._lock:
-            if self._tables is not None and tables.revision <= self._tables.revision:
-                return
             route_table = RouteTable(routes=tables.routes.values())
             priorities = priorities_of(tables.routes.values())
             pools = {
--- a/src/monsoonline/entry/shared_state.py
+++ b/src/monsoonline/entry/shared_state.py
@@ -7,6 +7,9 @@
 from monsoonline.core.departures import Departures
 from monsoonline.core.fleet_messages import SharedStateCopy
 from monsoonline.core.registrations import RegistrationDelta, RegistrationList
+from monsoonline.core.restored_registrations import RestoredRegistrations
+from monsoonline.core.store_revisions import EraWatch, StoreRevision
+from monsoonline.core.tables_order import Decision, TablesOrder
 from monsoonline.errors import FindingsError
 
 __all__ = ["SharedState"]
@@ -20,6 +23,9 @@
 class SharedState:
     """Newest state known to this entry, by the revisions of the store.
 
+    After the store has been restored from an older copy, which begins a new era, the
+    state that it had before stays in effect until it has been written again.
+
     :param decode_tables: converts stored bytes and their revision into
         :class:`monsoonline.core.model.Tables`
     :param on_tables: called with newer tables
@@ -37,23 +43,24 @@
         self._on_registrations = on_registrations
         self._metrics = metrics
         self._lock = threading.Lock()
-        self._tables_revision = 0
+        self._eras = EraWatch()
+        self._tables_order = TablesOrder(eras=self._eras)
         self._stored_tables = b""
-        self._invalid_revision = 0
         self._registrations = RegistrationList()
         self._departures = Departures()
+        self._restored = RestoredRegistrations(eras=self._eras)
         # The registrations in effect: those of the list, but none that has left.
         self._published = {}
 
     @property
     def tables_revision(self):
         """Revision of the tables in effect, 0 before the first."""
-        return self._tables_revision
+        return self._tables_order.revision
 
     @property
-    def decided_revision(self):
-        """Newest revision of tables that is in effect or was found to be invalid."""
-        return max(self._tables_revision, self._invalid_revision)
+    def era(self):
+        """Newest known era of the store."""
+        return self._eras.era
 
     @property
     def registrations_revision(self):
@@ -68,7 +75,14 @@
     @property
     def complete(self):
         """Whether tables and registrations are known, as serving requests requires."""
-        return bool(self._tables_revision and self._registrations.revision)
+        return bool(self.tables_revision and self._registrations.revision)
+
+    def lacks_tables(self, revision):
+        """Return whether tables may have to take effect, or to be found invalid.
+
+        :param revision: their revision, which another entry or the store has stated
+        """
+        return self._tables_order.lacks(revision, self._clock.now())
 
     def includes(self, tables_revision, registrations_revision):
         """Return whether a state of the store, or a newer one, is in effect.
@@ -77,12 +91,12 @@
         :param registrations_revision: revision of its registrations
         """
         return (
-            tables_revision <= self.decided_revision
+            not self.lacks_tables(tables_revision)
             and registrations_revision <= self.registrations_revision
         )
 
     def use_tables(self, revision, content, *, source="store"):
-        """Apply stored tables if they are newer.
+        """Apply stored tables if they are newer, see :class:`TablesOrder`.
 
         Invalid tables are logged with all their findings and never applied. After an
         unexpected error they are tried again with the next read, and whatever else was
@@ -93,42 +107,76 @@
         :param source: where they were read, ``store`` or ``entry``
         """
         started = self._clock.now()
+        revision = StoreRevision(revision)
         with self._lock:
-            if revision <= self.decided_revision:
+            self._note_era(revision)
+            if not self.lacks_tables(revision):
                 return
             try:
-                self._on_tables(self._decode_tables(content, revision))
+                tables = self._decode_tables(content, revision)
+                if self._postpone(revision, tables, source):
+                    return
+                self._on_tables(tables)
             except FindingsError as error:
-                self._invalid_revision = revision
+                self._tables_order.note_decided(revision)
                 self._metrics.count("tables_refused_total")
                 logger.error(
                     "stored tables are not valid; the previous tables stay in effect",
-                    extra={"revision": revision, "findings": str(error)},
+                    extra=revision.log_fields() | {"findings": str(error)},
                 )
                 return
             except Exception:
                 self._metrics.count("tables_refused_total")
                 logger.exception(
                     "unexpected error while applying tables",
-                    extra={"revision": revision},
+                    extra=revision.log_fields(),
                 )
                 return
-            self._tables_revision = revision
+            self._tables_order.note_used(revision, tables.edition)
             self._stored_tables = content
         # Includes the wait for the lock and for the processor.
         apply_ms = self._clock.now() - started
-        self._metrics.gauge("tables_revision", revision)
+        self._metrics.gauge("tables_revision", revision.version)
         self._metrics.observe("tables_apply_ms", apply_ms)
         logger.info(
             "tables in effect",
-            extra={
-                "revision": revision,
+            extra=revision.log_fields()
+            | {
+                "edition": tables.edition,
                 "source": source,
                 "apply_ms": round(apply_ms, 1),
                 "bytes": len(content),
             },
         )
 
+    def _postpone(self, revision, tables, source):
+        """Return whether tables do not take effect, and record that they do not."""
+        now = self._clock.now()
+        decision = self._tables_order.decide(revision, tables.edition, now)
+        if decision is Decision.USE:
+            return False
+        self._tables_order.note_decided(revision)
+        self._metrics.count("tables_postponed_total")
+        logger.warning(
+            "tables of another era postponed; the previous tables stay in effect",
+            extra=revision.log_fields()
+            | {
+                "edition": tables.edition,
+                "source": source,
+                "edition_in_effect": self._tables_order.edition,
+            },
+        )
+        return True
+
+    def _note_era(self, revision):
+        """Record the era of a revision that another entry or the store has stated."""
+        if self._eras.note(revision, self._clock.now()):
+            self._metrics.gauge("store_era", self._eras.era)
+            logger.warning(
+                "the store was restored from a copy",
+                extra=StoreRevision(revision).log_fields(),
+            )
+
     def use_listing(self, listing, *, now, ms_since_store_failure):
         """Apply registrations that this entry read from the store.
 
@@ -139,11 +187,13 @@
         :returns: the :class:`RegistrationDelta` to send to the other entries
         """
         with self._lock:
+            self._note_era(listing.revision)
+            before = self._registrations.registrations
             previous_digest = self._registrations.digest
             delta = self._registrations.apply_listing(
                 listing, now=now, ms_since_store_failure=ms_since_store_failure
             )
-            self._publish(previous_digest, "store")
+            self._publish(before, "store")
             if delta is not None:
                 return delta
             return RegistrationDelta(
@@ -165,37 +215,56 @@
     def use_delta(self, delta):
         """Apply a delta that another entry read; return whether it could be applied."""
         with self._lock:
-            previous_digest = self._registrations.digest
+            self._note_era(delta.revision)
+            before = self._registrations.registrations
             applied = self._registrations.apply_delta(delta)
-            self._publish(previous_digest, "notice")
+            self._publish(before, "notice")
             return applied
 
     def use_copy(self, copy):
         """Apply the parts of another entry's complete state that are newer."""
+        if copy.removals:
+            with self._lock:
+                for removal in copy.removals:
+                    self._restored.note(removal)
+                self._publish_registrations("entry")
         if copy.tables:
             self.use_tables(copy.tables_revision, copy.tables, source="entry")
         if copy.registrations is None:
             return
         with self._lock:
-            previous_digest = self._registrations.digest
+            self._note_era(copy.registrations_revision)
+            before = self._registrations.registrations
             self._registrations.apply_full_state(
                 copy.registrations_revision, copy.registrations
             )
-            self._publish(previous_digest, "entry")
+            self._publish(before, "entry")
 
-    def make_copy_for(self, *, tables_revision, digest, read_age_ms, members):
+    def make_copy_for(
+        self,
+        *,
+        tables_revision,
+        digest,
+        read_age_ms,
+        members,
+        include_removals=False,
+    ):
         """Return the parts of the state that another entry lacks.
 
         :param tables_revision: revision of the other entry's tables
         :param digest: digest of the other entry's registrations
         :param read_age_ms: age in ms of the newest read known to this entry
         :param members: :class:`monsoonline.core.fleet.MemberAge` items to include
+        :param include_removals: whether to include removals of upstreams
         """
+        requested = StoreRevision(tables_revision)
         with self._lock:
-            newer = self._tables_revision > tables_revision
+            own = self.tables_revision
+            # Tables of an earlier era may replace those of a restored store.
+            newer = own > requested or own.era < requested.era
             differs = self._registrations.digest != digest
             return SharedStateCopy(
-                tables_revision=self._tables_revision,
+                tables_revision=own,
                 tables=self._stored_tables if newer else b"",
                 registrations_revision=self._registrations.revision,
                 registrations=tuple(self._registrations.registrations.values())
@@ -203,15 +272,26 @@
                 else None,
                 read_age_ms=read_age_ms,
                 members=members,
+                removals=self._restored.latest_removals() if include_removals else (),
             )
 
-    def _publish(self, previous_digest, source):
-        if self._registrations.digest != previous_digest:
+    def _publish(self, before, source):
+        """Publish the registrations if they, or their corrections, may have changed.
+
+        :param before: registrations by instance before the change
+        """
+        after = self._registrations.registrations
+        if after is not before:
+            self._restored.note_changes(before, after, self._clock.now())
+        if after is not before or self._restored.correcting:
             self._publish_registrations(source)
 
     def _publish_registrations(self, source):
         previous = self._published
-        self._published = self._departures.apply(self._registrations.registrations)
+        registrations = self._restored.apply(
+            self._registrations.registrations, self._clock.now()
+        )
+        self._published = self._departures.apply(registrations)
         self._on_registrations(self._published)
         self._log_changes(previous, self._published, source)
 
@@ -229,7 +309,7 @@
         logger.info(
             "upstreams changed",
             extra={
-                "revision": self._registrations.revision,
+                **StoreRevision(self._registrations.revision).log_fields(),
                 "source": source,
                 "joined": joined[:MAX_LOGGED_UPSTREAMS],
                 "leaving": leaving[:MAX_LOGGED_UPSTREAMS],
--- a/src/monsoonline/entry/start_gate.py
+++ b/src/monsoonline/entry/start_gate.py
@@ -1,5 +1,7 @@
 """Decides when a starting entry has caught up with the others and may serve."""
 
+from monsoonline.core.store_revisions import StoreRevision
+
 __all__ = ["START_LIMIT_MS", "StartGate"]
 
 # An entry that reaches the store tells the others of a read each 0.7 s. One that hears
@@ -23,7 +25,8 @@
         self._started_at = clock.now()
         self._started_at_boot_time = clock.boot()
         self._read_at = float("-inf")
-        self._heard_revision = 0
+        # Newest revision of tables that others have stated, by era of the store.
+        self._heard = {}
         self._crashes_known = False
 
     @property
@@ -33,7 +36,7 @@
             return False
         if self._clock.now() - self._started_at >= START_LIMIT_MS:
             return True
-        behind = self._heard_revision > self._state.decided_revision
+        behind = any(map(self._state.lacks_tables, self._heard.values()))
         return (
             self._crashes_known
             and self._read_at >= self._started_at_boot_time
@@ -46,7 +49,8 @@
 
     def note_revision(self, revision):
         """Record the revision of tables that another entry has, or the store."""
-        self._heard_revision = max(self._heard_revision, revision)
+        era = StoreRevision(revision).era
+        self._heard[era] = max(self._heard.get(era, 0), revision)
 
     def note_read(self, at):
         """Record that all that a read of the store has found is known here.
--- a/src/monsoonline/entry/store_reader.py
+++ b/src/monsoonline/entry/store_reader.py
@@ -5,6 +5,7 @@
 import threading
 
 from monsoonline.background import start_task
+from monsoonline.core.store_revisions import StoreRevision
 from monsoonline.errors import StoreUnavailable
 
 __all__ = ["StoreReader"]
@@ -13,6 +14,10 @@
 JOIN_RETRY_MS = 250.0
 MAX_JOIN_RETRY_MS = 1_500.0
 MAX_SCHEDULE_WAIT_MS = 200.0
+# The entries join again within this time after the store was restored from a copy, and
+# at most one of them in each interval on average.
+MIN_REJOIN_SPREAD_MS = 1_000.0
+REJOIN_INTERVAL_MS = 10.0
 # Interval between reads of an entry without complete tables and registrations.
 STARTUP_READ_INTERVAL_MS = 300.0
 
@@ -54,6 +59,9 @@
         # Whether the last read returned an older state than the one in effect.
         self._store_is_older = False
         self._joined = False
+        # Era of the store in which this entry joined.
+        self._joined_era = 0
+        self._rejoin_requested = threading.Event()
 
     @property
     def joined(self):
@@ -62,16 +70,28 @@
 
     def start(self):
         """Start joining the fleet and reading the store."""
-        for task in (self._join, self._run_reads):
+        for task in (self._run_joins, self._run_reads):
             start_task(task, stopping=self._stopping, on_error=self._count_failure)
 
     def close(self):
         """Stop reading."""
         self._stopping.set()
+        self._rejoin_requested.set()
 
     def _count_failure(self):
         self._metrics.count("store_reader_failures_total")
 
+    def _run_joins(self):
+        """Join the fleet, and again each time the store has lost what it kept."""
+        while not self._stopping.is_set():
+            self._join()
+            self._rejoin_requested.wait()
+            self._rejoin_requested.clear()
+            spread_ms = max(
+                MIN_REJOIN_SPREAD_MS, REJOIN_INTERVAL_MS * len(self._fleet.others())
+            )
+            self._stopping.wait(spread_ms * self._generator.random() / 1e3)
+
     def _join(self):
         """Register in the store, learn the other entries and announce this one."""
         retry_ms = JOIN_RETRY_MS
@@ -89,6 +109,7 @@
                     self._crashes.observe(report)
                 self._gate.note_crashes_known()
                 self._joined = True
+                self._joined_era = joined.era
                 self._link.announce()
                 return
             self._stopping.wait(retry_ms * (0.5 + self._generator.random()) / 1e3)
@@ -96,6 +117,7 @@
 
     def _run_reads(self):
         while not self._stopping.is_set():
+            self._rejoin_after_loss()
             due_in_ms = self._due_in_ms()
             if due_in_ms > 0:
                 self._stopping.wait(min(due_in_ms, MAX_SCHEDULE_WAIT_MS) / 1e3)
@@ -107,6 +129,13 @@
                 self._metrics.count("store_failures_total", call="read")
                 logger.exception("unexpected error while reading the store")
 
+    def _rejoin_after_loss(self):
+        """Write again what the store has lost that this entry wrote there."""
+        if self._joined and self._state.era > self._joined_era:
+            self._joined_era = self._state.era
+            self._crashes.record_again()
+            self._rejoin_requested.set()
+
     def _due_in_ms(self):
         """Return the time in ms until this entry reads; 0 or less means now."""
         now = self._clock.boot()
@@ -150,7 +179,7 @@
         delta = self._state.use_listing(
             stored.listing, now=now, ms_since_store_failure=ms_since_failure
         )
-        if stored.tables_revision > self._state.decided_revision:
+        if self._state.lacks_tables(stored.tables_revision):
             # Others must not take a read for complete whose tables are not in effect.
             return
         self._schedule.record_read(started)
@@ -159,6 +188,7 @@
 
     def _note_order(self, revision, known_revision):
         """Count a read that returned an older state than one known before it began."""
+        revision = StoreRevision(revision)
         older = revision < known_revision
         if older:
             self._metrics.count("store_older_reads_total")
@@ -168,5 +198,6 @@
                 "store older than the state in effect"
                 if older
                 else "store as new as the state in effect again",
-                extra={"revision": revision, "known_revision": known_revision},
+                extra=revision.log_fields()
+                | {"known_revision": StoreRevision(known_revision).version},
             )
--- a/src/monsoonline/platform/documents.py
+++ b/src/monsoonline/platform/documents.py
@@ -1,6 +1,7 @@
 """Conversion between documents in the platform's store and the data model."""
 
 import json
+import re
 
 from monsoonline.core.checked_fields import CheckedFields
 from monsoonline.core.crashes import MAX_RECORDED_INCIDENTS, CrashReport
@@ -32,6 +33,7 @@
 
 CONFIGURATION_PLACE = "op/config"
 CRASHES_PLACE = "entries/#requests"
+EDITION = re.compile(r"[0-9a-fA-F]{1,16}")
 # Value of a route's ``kind`` whose requests may run more than once.
 IDEMPOTENT_KIND = "safe"
 TARGET_STATES = ("ready", "draining")
@@ -60,8 +62,7 @@
     """Return the :class:`Tables` of the operator's configuration.
 
     :param content: the bytes as stored
-    :param revision: the store's revision of the row, which orders configurations;
-        the ``version`` in the document is informational only
+    :param revision: the store's revision of the row
     :raises FindingsError: if the configuration is invalid, with all findings
     """
     return TablesDecoder().decode(content, revision)
@@ -99,7 +100,13 @@
         limits = decode_limits(fields.child("limits"))
         fields.finish()
         self._known = known
-        return Tables(revision=revision, routes=routes, pools=pools, limits=limits)
+        return Tables(
+            revision=revision,
+            routes=routes,
+            pools=pools,
+            limits=limits,
+            edition=decode_edition(document.get("version")),
+        )
 
     def _find_known(self, document):
         """Return the route of an equal document of the last configuration, if any."""
@@ -110,6 +117,17 @@
         return known[1]
 
 
+def decode_edition(version):
+    """Return the number of a configuration's version.
+
+    :param version: hexadecimal text
+    :returns: ``None`` for anything else, which makes no configuration invalid
+    """
+    if isinstance(version, str) and EDITION.fullmatch(version):
+        return int(version, 16)
+    return None
+
+
 def decode_pool(fields):
     """Return the :class:`Pool` of a service, without upstreams.
 
--- a/src/monsoonline/platform/headers.py
+++ b/src/monsoonline/platform/headers.py
@@ -5,15 +5,18 @@
 import urllib.parse
 
 from monsoonline.core.header_names import HeaderNames
+from monsoonline.core.store_revisions import MAX_ERA
 from monsoonline.types import Answer, LoadReport
 
 __all__ = [
     "DISCOVERY_PATH",
     "HEADERS",
     "READINESS_PATH",
+    "STORE_ERA",
     "caller_domain",
     "discovery_response",
     "parse_load",
+    "parse_store_era",
     "refusal_response",
 ]
 
@@ -28,6 +31,8 @@
     limit="Server-Limit",
     leaving="Server-Leaving",
 )
+# Number of times that the store was restored from a copy, in all of its responses.
+STORE_ERA = "Store-Era"
 READINESS_PATH = "/-/ready"
 DISCOVERY_PATH = "/-/resolve"
 # Running requests, queued requests and slots; optionally the slowdown, the time that
@@ -36,6 +41,7 @@
     r"\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})"
     r"(?:\s*,\s*([0-9]{1,6}(?:\.[0-9]+)?))?\s*"
 )
+ERA_PATTERN = re.compile(r"[0-9]{1,9}")
 NOMINAL_SLOWDOWN_PERCENT = 100.0
 MIN_SLOWDOWN = 0.05
 
@@ -54,6 +60,16 @@
     )
 
 
+def parse_store_era(text):
+    """Return the era that a response of the store states, ``None`` if it is invalid.
+
+    :param text: value of the header, ``None`` without one
+    """
+    if text is None or ERA_PATTERN.fullmatch(text) is None or int(text) > MAX_ERA:
+        return None
+    return int(text)
+
+
 def refusal_response(refusal):
     """Return the response that reports a refusal to a caller.
 
--- a/src/monsoonline/platform/store.py
+++ b/src/monsoonline/platform/store.py
@@ -15,6 +15,7 @@
 from monsoonline.core.checked_fields import parse_time_ms
 from monsoonline.core.crashes import merge_reports
 from monsoonline.core.registrations import Listing
+from monsoonline.core.store_revisions import StoreRevision
 from monsoonline.errors import FindingsError, StoreUnavailable
 from monsoonline.platform.documents import (
     decode_crashes,
@@ -23,6 +24,7 @@
     encode_crashes,
     encode_member,
 )
+from monsoonline.platform.headers import STORE_ERA, parse_store_era
 from monsoonline.ports import JoinedFleet, StoredState
 
 __all__ = ["PlatformStore", "StoreConnection"]
@@ -49,6 +51,37 @@
 logger = logging.getLogger(__name__)
 
 
+class KnownEra:
+    """The newest era of the store that a whole read has shown.
+
+    A response without a valid era counts as one of the newest.
+    """
+
+    def __init__(self):
+        self._era = 0
+        self._lock = threading.Lock()
+
+    def check(self, text):
+        """Return the era that a response states.
+
+        :param text: value of its header, ``None`` without one
+        :raises StoreUnavailable: for an earlier era than the newest
+        """
+        era = parse_store_era(text)
+        if era is None:
+            return self._era
+        if era < self._era:
+            raise StoreUnavailable(
+                f"response of era {era}, expected era {self._era} or a later one"
+            )
+        return era
+
+    def confirm(self, era):
+        """Record the era that all responses of a read have stated."""
+        with self._lock:
+            self._era = max(self._era, era)
+
+
 class StoreConnection:
     """A persistent connection for one call at a time.
 
@@ -56,14 +89,23 @@
 
     :param address: ``host:port``
     :param timeout_ms: timeout of each socket operation, in ms
+    :param known_era: the :class:`KnownEra` of the store
     """
 
-    def __init__(self, *, address, timeout_ms=CALL_TIMEOUT_MS):
+    def __init__(self, *, address, timeout_ms=CALL_TIMEOUT_MS, known_era=None):
+        self._known_era = known_era or KnownEra()
+        # Era of the store in the last response.
+        self._era = 0
         self._address = address
         self._timeout_ms = timeout_ms
         self._connection = None
         self._lock = threading.Lock()
 
+    @property
+    def era(self):
+        """Era of the store in the last response."""
+        return self._era
+
     def call(self, method, path, *, query=None, document=None):
         """Make one call and return the decoded JSON response.
 
@@ -90,6 +132,7 @@
             except (OSError, http.client.HTTPException) as error:
                 raise StoreUnavailable(f"{method} {path}: {error!r}") from error
         response = framed.response
+        self._era = self._known_era.check(response.header(STORE_ERA))
         if response.status != HTTP_OK:
             raise StoreUnavailable(
                 f"{method} {path}: status {response.status}, expected {HTTP_OK}"
@@ -145,12 +188,14 @@
     """Rows of a table as the store returned them.
 
     :param rows: the rows as JSON objects
-    :param revision: revision of the store
+    :param era: era of the store
+    :param revision: :class:`monsoonline.core.store_revisions.StoreRevision`
     :param now_ms: time on the clock of the store, 0 if it does not tell
     """
 
     rows: list
-    revision: int
+    era: int
+    revision: StoreRevision
     now_ms: float
 
 
@@ -162,9 +207,13 @@
     """
 
     def __init__(self, *, address, timeout_ms=CALL_TIMEOUT_MS):
-        self._read_connection = StoreConnection(address=address, timeout_ms=timeout_ms)
-        self._join_connection = StoreConnection(address=address, timeout_ms=timeout_ms)
-        self._crash_connection = StoreConnection(address=address, timeout_ms=timeout_ms)
+        self._known_era = KnownEra()
+        self._read_connection, self._join_connection, self._crash_connection = (
+            StoreConnection(
+                address=address, timeout_ms=timeout_ms, known_era=self._known_era
+            )
+            for _ in range(3)
+        )
         # Invalid rows of the last read by table.
         self._skipped = {}
 
@@ -196,6 +245,7 @@
         return JoinedFleet(
             members=self._decode_rows(ENTRIES_TABLE, rows, decode_member),
             crashes=self._decode_crashes(page),
+            era=page.era,
         )
 
     def record_crashes(self, reports):
@@ -237,13 +287,16 @@
         page = self._read_rows(
             self._read_connection, OPERATOR_TABLE, key=CONFIGURATION_KEY
         )
-        revision, tables = 0, None
+        era, revision, tables = page.era, 0, None
         for row in page.rows:
             if row["key"] == CONFIGURATION_KEY:
-                revision = row["ver"]
+                revision = make_revision(era, row["ver"])
                 if revision > tables_revision:
                     tables = decode_value(row)
         page = self._read_rows(self._read_connection, TARGETS_TABLE)
+        if page.era != era:
+            raise StoreUnavailable(f"era {page.era} follows era {era} within one read")
+        self._known_era.confirm(era)
         registrations = self._decode_rows(TARGETS_TABLE, page.rows, decode_registration)
         return StoredState(
             tables_revision=revision,
@@ -265,11 +318,18 @@
             page = connection.call("GET", "/-/rows-get", query=query)
             # Pages are read at different times. The revision of the first page is used
             # because all pages are at least as recent.
-            revision = page["ver"] if revision is None else revision
+            if revision is None:
+                revision = make_revision(connection.era, page["ver"])
+            if connection.era != revision.era:
+                raise StoreUnavailable(
+                    f"era {connection.era} follows era {revision.era} within one read"
+                )
             rows += page["rows"]
             if not page.get("has_more") or not page["rows"]:
                 now_ms = parse_time_ms(str(page.get("now"))) or 0.0
-                return Rows(rows=rows, revision=revision, now_ms=now_ms)
+                return Rows(
+                    rows=rows, era=revision.era, revision=revision, now_ms=now_ms
+                )
             query["from"] = page["rows"][-1]["key"] + "\0"
 
     def _decode_rows(self, table, rows, decode):
@@ -307,6 +367,17 @@
         self._skipped[table] = skipped
 
 
+def make_revision(era, version):
+    """Return the :class:`StoreRevision` of a version that a response states.
+
+    :raises StoreUnavailable: if it is not a version
+    """
+    try:
+        return StoreRevision.of(era=era, version=version)
+    except (TypeError, ValueError) as error:
+        raise StoreUnavailable(f"invalid revision: {error}") from error
+
+
 def decode_value(row):
     """Return the bytes of a row's value, empty if they cannot be decoded."""
     try:
--- a/src/monsoonline/ports.py
+++ b/src/monsoonline/ports.py
@@ -174,6 +174,8 @@
 class StoredState:
     """Result of one read of the shared store.
 
+    Revisions are those of :class:`monsoonline.core.store_revisions.StoreRevision`.
+
     :param tables_revision: revision of the stored tables, 0 if there are none
     :param tables: the encoded tables, ``None`` if the reader already has them
     :param listing: registrations of upstreams
@@ -190,10 +192,12 @@
 
     :param members: the listed entries
     :param crashes: reports of requests that crash upstreams
+    :param era: era of the store that keeps them
     """
 
     members: tuple[FleetMember, ...]
     crashes: tuple[CrashReport, ...] = ()
+    era: int = 0
 
 
 class SharedStore(Protocol):
--- a/tests/adapters/test_fleet_codec.py
+++ b/tests/adapters/test_fleet_codec.py
@@ -36,6 +36,8 @@
 )
 from monsoonline.core.peer_reads import Reader
 from monsoonline.core.registrations import RegistrationDelta
+from monsoonline.core.restored_registrations import Removal
+from monsoonline.core.store_revisions import StoreRevision
 from monsoonline.types import LoadReport
 from tests.core.test_fleet import member
 from tests.core.test_registrations import registration
@@ -141,6 +143,30 @@
                 content = encode_state(state, compress_tables=compressed)
                 self.assertEqual(decode_state(content), state)
 
+    def test_removals_are_sent_to_entries_that_ask_for_them(self):
+        state = SharedStateCopy(
+            tables_revision=StoreRevision.of(era=2, version=5),
+            tables=b"",
+            registrations_revision=StoreRevision.of(era=3, version=5),
+            registrations=None,
+            read_age_ms=None,
+            members=(),
+            removals=(Removal(instance="i1", born_ms=9, era=2),),
+        )
+        self.assertEqual(decode_state(encode_state(state)), state)
+
+    def test_state_without_removals_is_read_by_earlier_versions(self):
+        """Guards against entries that cannot fetch a state during an upgrade."""
+        state = SharedStateCopy(
+            tables_revision=5,
+            tables=b"",
+            registrations_revision=9,
+            registrations=None,
+            read_age_ms=None,
+            members=(),
+        )
+        self.assertEqual(len(decompress(encode_state(state))), 6)
+
     def test_tables_are_compressed_once_for_all_receivers(self):
         """Guards against versions in force too late: all entries fetch them at once."""
         state = SharedStateCopy(
@@ -162,6 +188,9 @@
             compress([5, ["zlib", "AAAA"], 9, None, None, []]),
             compress([5, ["other", ""], 9, None, None, []]),
             compress([5, {}, 9, None, None, []]),
+            compress([5, "", 9, None, None, [], [["i1", 9]]]),
+            compress([5, "", 9, None, None, [], [["i1", 9, 1 << 40]]]),
+            compress([5, "", 9, None, None, [], [["i1", float("nan"), 1]]]),
         ):
             with self.subTest(content), self.assertRaises(ValueError):
                 decode_state(content)
--- a/tests/entry/test_read_sharing.py
+++ b/tests/entry/test_read_sharing.py
@@ -8,6 +8,7 @@
 from monsoonline.clock import ManualClock
 from monsoonline.core.crashes import CrashTracker
 from monsoonline.core.fleet import LIVENESS_TIMEOUT_MS, Fleet
+from monsoonline.core.model import Tables
 from monsoonline.core.read_schedule import PERIOD_MS, ReadSchedule
 from monsoonline.entry.fleet_link import FleetLink
 from monsoonline.entry.shared_state import SharedState
@@ -76,7 +77,7 @@
         self.own = member(f"entry-{number}", peer_address=f"10.0.0.{number + 1}:90")
         self.fleet = Fleet(own=self.own)
         self.state = state = SharedState(
-            decode_tables=lambda content, revision: content,
+            decode_tables=lambda content, revision: Tables(revision=revision),
             on_tables=lambda tables: None,
             on_registrations=lambda registrations: None,
             metrics=metrics,
--- a/tests/entry/test_shared_state.py
+++ b/tests/entry/test_shared_state.py
@@ -1,21 +1,36 @@
 """Tests of merging the shared state from all sources."""
 
 import dataclasses
+import re
 import unittest
 from unittest import mock
 
+from monsoonline.clock import ManualClock
 from monsoonline.core.fleet_messages import SharedStateCopy
 from monsoonline.core.registrations import Listing
+from monsoonline.core.restored_registrations import REMOVAL_HOLD_MS
+from monsoonline.core.store_revisions import StoreRevision
 from monsoonline.entry.shared_state import SharedState
 from monsoonline.errors import Finding, FindingsError
 from monsoonline.metrics import Metrics
 from tests.core.test_registrations import registration
 
 
-class TestSharedState(unittest.TestCase):
-    """The state with the higher revision wins, whatever its source."""
+class DecodedTables(tuple):
+    """Revision and content of tables, with the edition that the content names."""
+
+    @property
+    def edition(self):
+        """The number after ``edition``, ``None`` without one."""
+        match = re.search(rb"edition (\d+)", self[1])
+        return int(match[1]) if match else None
+
+
+class SharedStateCase(unittest.TestCase):
+    """Makes states and applies listings to them."""
 
     def setUp(self):
+        self.clock = ManualClock()
         self.tables = []
         self.published = []
         self.metrics = Metrics()
@@ -27,6 +42,7 @@
             on_tables=self.tables.append,
             on_registrations=self.published.append,
             metrics=self.metrics,
+            clock=self.clock,
         )
 
     @staticmethod
@@ -36,11 +52,13 @@
             raise FindingsError([finding])
         if content == b"unexpected":
             raise ZeroDivisionError
-        return (revision, content)
+        return DecodedTables((revision, content))
 
     def listing(self, state, revision, *registrations):
         listing = Listing(revision=revision, registrations=registrations)
-        return state.use_listing(listing, now=0.0, ms_since_store_failure=None)
+        return state.use_listing(
+            listing, now=self.clock.now(), ms_since_store_failure=None
+        )
 
     def copy_of(self, state, *, tables_revision=0, digest=""):
         return state.make_copy_for(
@@ -50,6 +68,10 @@
             members=(),
         )
 
+
+class TestSharedState(SharedStateCase):
+    """The state with the higher revision wins, whatever its source."""
+
     def test_older_tables_never_replace_newer_ones(self):
         """Guards against outdated tables from an entry that was isolated."""
         self.state.use_tables(7, b"new")
@@ -197,3 +219,100 @@
         self.assertEqual((second.revision, second.source), (6, "store"))
         with self.assertNoLogs(logger):
             self.listing(self.state, 7, registration("i2", leaving=True))
+
+
+def revision_of(era, version):
+    return StoreRevision.of(era=era, version=version)
+
+
+class TestRestoredStore(SharedStateCase):
+    """State in effect after the store has come back from an older copy."""
+
+    def test_route_added_after_a_drill_is_served(self):
+        """Guards against 404 for added routes until the counter catches up."""
+        self.state.use_tables(100, b"edition 7")
+        self.state.use_tables(revision_of(1, 26), b"edition 5")
+        self.state.use_tables(revision_of(1, 27), b"edition 8")
+        contents = [content for _, content in self.tables]
+        self.assertEqual(contents, [b"edition 7", b"edition 8"])
+        self.assertEqual(self.metrics.value("tables_postponed_total"), 1)
+
+    def test_drill_does_not_drop_upstreams_that_register_again(self):
+        """Guards against live upstreams that a restored store does not list yet."""
+        self.listing(self.state, 100, registration("i1"), registration("i2"))
+        self.listing(self.state, revision_of(1, 30), registration("i1"))
+        self.assertEqual(set(self.published[-1]), {"i1", "i2"})
+        self.clock.advance(2_000.0)
+        listed = registration("i1"), registration("i2")
+        self.listing(self.state, revision_of(1, 34), *listed)
+        self.clock.advance(2_000.0)
+        self.listing(self.state, revision_of(1, 36), registration("i1"))
+        self.assertEqual(set(self.published[-1]), {"i1"})
+
+    def test_drill_brings_no_removed_upstream_back(self):
+        """Guards against requests to upstreams that the older copy still lists."""
+        both = registration("i1", born_ms=5), registration("i2", born_ms=5)
+        self.listing(self.state, 98, *both)
+        self.listing(self.state, 100, both[0])
+        self.listing(self.state, revision_of(1, 30), *both)
+        self.assertEqual(set(self.published[-1]), {"i1"})
+        # Neither a neighbour that has started nor the next reads bring it back.
+        starting = self.make()
+        self.listing(starting, revision_of(1, 31), *both)
+        self.state.use_copy(self.copy_of(starting))
+        self.assertEqual(set(self.published[-1]), {"i1"})
+        self.clock.advance(REMOVAL_HOLD_MS + 1.0)
+        self.listing(self.state, revision_of(1, 40), *both)
+        self.assertEqual(set(self.published[-1]), {"i1", "i2"})
+
+    def test_drill_makes_no_leaving_upstream_ready(self):
+        ready = registration("i1", born_ms=5)
+        self.listing(self.state, 100, dataclasses.replace(ready, leaving=True))
+        self.listing(self.state, revision_of(1, 30), ready)
+        self.assertTrue(self.published[-1]["i1"].leaving)
+
+    def test_entry_that_starts_in_a_drill_takes_the_state_of_a_neighbour(self):
+        """Guards against a new entry that serves by the older copy."""
+        both = registration("i1", born_ms=5), registration("i2", born_ms=5)
+        self.state.use_tables(100, b"edition 7")
+        self.listing(self.state, 98, *both)
+        self.listing(self.state, 100, both[0])
+        starting = self.make()
+        starting.use_tables(revision_of(1, 26), b"edition 5")
+        self.listing(starting, revision_of(1, 30), *both)
+        self.assertTrue(starting.lacks_tables(self.state.tables_revision))
+        starting.use_copy(
+            self.state.make_copy_for(
+                tables_revision=starting.tables_revision,
+                digest=starting.registrations_digest,
+                read_age_ms=1.0,
+                members=(),
+                include_removals=True,
+            )
+        )
+        self.assertEqual(self.tables[-1], (100, b"edition 7"))
+        self.listing(starting, revision_of(1, 31), *both)
+        self.assertEqual(set(self.published[-1]), {"i1"})
+        self.assertFalse(starting.lacks_tables(self.state.tables_revision))
+        self.assertFalse(starting.lacks_tables(revision_of(1, 26)))
+
+    def test_entry_that_was_cut_off_during_the_drill_takes_the_new_era(self):
+        self.state.use_tables(100, b"edition 7")
+        cut_off = self.make()
+        cut_off.use_tables(90, b"edition 6")
+        self.state.use_tables(revision_of(1, 40), b"edition 8")
+        self.assertTrue(cut_off.lacks_tables(self.state.tables_revision))
+        cut_off.use_copy(self.copy_of(self.state, tables_revision=90))
+        self.assertEqual(cut_off.tables_revision, revision_of(1, 40))
+        self.assertEqual(self.tables[-1], (revision_of(1, 40), b"edition 8"))
+
+    def test_new_era_is_logged_once_with_both_editions(self):
+        """Guards against late tables that no log can explain."""
+        self.state.use_tables(100, b"edition 7")
+        logger = "monsoonline.entry.shared_state"
+        with self.assertLogs(logger, "WARNING") as captured:
+            for _ in range(3):
+                self.state.use_tables(revision_of(1, 26), b"edition 5")
+        restored, postponed = captured.records
+        self.assertEqual((restored.era, restored.revision), (1, 26))
+        self.assertEqual((postponed.edition, postponed.edition_in_effect), (5, 7))
--- a/tests/entry/test_start_gate.py
+++ b/tests/entry/test_start_gate.py
@@ -3,6 +3,7 @@
 import unittest
 
 from monsoonline.clock import ManualClock
+from monsoonline.core.model import Tables
 from monsoonline.core.registrations import Listing
 from monsoonline.entry.shared_state import SharedState
 from monsoonline.entry.start_gate import START_LIMIT_MS, StartGate
@@ -13,7 +14,7 @@
 def decode(content, revision):
     if content == b"broken":
         raise FindingsError([Finding(place="p", path=".", value="x", expected="y")])
-    return content
+    return Tables(revision=revision)
 
 
 class TestStartGate(unittest.TestCase):
--- a/tests/entry/test_store_reader.py
+++ b/tests/entry/test_store_reader.py
@@ -5,8 +5,10 @@
 from monsoonline.clock import ManualClock
 from monsoonline.core.crashes import CrashReport, CrashTracker
 from monsoonline.core.fleet import Fleet
+from monsoonline.core.model import Tables
 from monsoonline.core.read_schedule import ReadSchedule
 from monsoonline.core.registrations import Listing
+from monsoonline.core.store_revisions import StoreRevision
 from monsoonline.entry.shared_state import SharedState
 from monsoonline.entry.start_gate import StartGate
 from monsoonline.entry.store_reader import StoreReader
@@ -25,12 +27,13 @@
     def __init__(self):
         self.available = True
         self.revision = 1
+        self.era = 0
 
     def join(self, own):
         if not self.available:
             raise StoreUnavailable("status 503, expected 200")
         report = CrashReport(fingerprint="bad", incidents=("1", "2"))
-        return JoinedFleet(members=(own,), crashes=(report,))
+        return JoinedFleet(members=(own,), crashes=(report,), era=self.era)
 
     def read(self, tables_revision):
         if not self.available:
@@ -40,7 +43,8 @@
             tables_revision=1,
             tables=b"tables" if tables_revision < 1 else None,
             listing=Listing(
-                revision=self.revision, registrations=(registration("i1"),)
+                revision=StoreRevision.of(era=self.era, version=self.revision),
+                registrations=(registration("i1"),),
             ),
         )
 
@@ -63,7 +67,7 @@
         self.store = SwitchedStore()
         self.metrics = metrics = Metrics()
         state = SharedState(
-            decode_tables=lambda content, revision: content,
+            decode_tables=lambda content, revision: Tables(revision=revision),
             on_tables=lambda tables: None,
             on_registrations=lambda registrations: None,
             metrics=metrics,
@@ -99,6 +103,29 @@
         )
         self.assertEqual(self.metrics.value("store_older_reads_total"), 2)
 
+    def test_row_of_this_entry_is_written_again_after_a_drill(self):
+        """Guards against entries that a restored store no longer lists."""
+        self.read_after(0.0, available=True)
+        self.reader._join()
+        self.reader._rejoin_after_loss()
+        self.assertFalse(self.reader._rejoin_requested.is_set())
+        self.crashes.connection_lost("10.0.0.1:80", "worse")
+        self.clock.advance(600.0)
+        self.crashes.connection_lost("10.0.0.1:80", "worse")
+        self.assertEqual(self.unrecorded(), {"worse"})
+        self.store.era = 1
+        self.read_after(700.0, available=True)
+        self.reader._rejoin_after_loss()
+        self.assertTrue(self.reader._rejoin_requested.is_set())
+        self.assertEqual(self.unrecorded(), {"worse"})
+        self.reader._rejoin_requested.clear()
+        self.reader._join()
+        self.reader._rejoin_after_loss()
+        self.assertFalse(self.reader._rejoin_requested.is_set())
+
+    def unrecorded(self):
+        return {report.fingerprint for report in self.crashes.take_unrecorded()}
+
     def read_after(self, duration_ms, *, available):
         self.store.available = available
         self.clock.advance(duration_ms)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -8,6 +8,7 @@
     caller_domain,
     discovery_response,
     parse_load,
+    parse_store_era,
     refusal_response,
 )
 from monsoonline.types import LoadReport, Outcome, Request
@@ -29,6 +30,19 @@
                 self.assertIsNone(parse_load(value))
 
 
+class TestStoreEra(unittest.TestCase):
+    """The era of the store is a whole number."""
+
+    def test_valid_and_invalid_headers(self):
+        for text, era in (("0", 0), ("17", 17), ("32767", 32_767)):
+            with self.subTest(text):
+                self.assertEqual(parse_store_era(text), era)
+        invalid = "", "-1", "+1", "1.0", "1_0", "0x1", "٣", "nan", "1e3", "32768"
+        for text in (None, *invalid, "1" * 400):
+            with self.subTest(text):
+                self.assertIsNone(parse_store_era(text))
+
+
 class TestRefusal(unittest.TestCase):
     """The response to a refused request has Retry-After in fractional seconds."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -181,6 +181,80 @@
                 self.assertIsNotNone(self.store.read(0).tables)
 
 
+class TestRestoredStore(unittest.TestCase):
+    """Eras of a store that comes back from an older copy."""
+
+    def setUp(self):
+        self.standin = RowStoreStandIn(era=0)
+        self.standin.start()
+        self.addCleanup(self.standin.close)
+        self.store = PlatformStore(address=self.standin.address, timeout_ms=200.0)
+        self.addCleanup(self.store.close)
+        self.standin.write("op", "config", CONFIGURATION)
+        self.copy = self.standin.take_copy()
+
+    def test_rows_of_a_restored_store_are_newer_than_all_before(self):
+        """Guards against rows of a new era that are taken for stale."""
+        for number in range(20):
+            self.standin.write("servers", f"i{number}", TARGET)
+        before = self.store.read(0)
+        self.standin.restore(self.copy)
+        after = self.store.read(before.tables_revision)
+        self.assertGreater(after.listing.revision, before.listing.revision)
+        self.assertGreater(after.tables_revision, before.tables_revision)
+        self.assertIsNotNone(after.tables)
+        self.assertEqual(after.listing.revision.era, 1)
+        self.assertEqual(self.store.join(member("a")).era, 1)
+
+    def test_read_that_a_drill_interrupts_is_no_read(self):
+        """Guards against tables of one era beside registrations of another."""
+        self.store.read(0)
+        read_rows = PlatformStore._read_rows
+
+        def read_across_a_drill(own, connection, table, **options):
+            if table == "servers":
+                self.standin.restore(self.copy)
+            return read_rows(own, connection, table, **options)
+
+        with (
+            mock.patch.object(PlatformStore, "_read_rows", read_across_a_drill),
+            self.assertRaisesRegex(StoreUnavailable, "era 1 follows era 0"),
+        ):
+            self.store.read(0)
+        self.assertEqual(self.store.read(0).listing.revision.era, 1)
+
+    def test_response_of_an_earlier_era_is_no_read(self):
+        self.standin.restore(self.copy)
+        self.store.read(0)
+        with (
+            mock.patch.object(store, "parse_store_era", lambda text: 0),
+            self.assertRaisesRegex(StoreUnavailable, "era 0, expected era 1"),
+        ):
+            self.store.read(0)
+        self.assertEqual(self.store.read(0).listing.revision.era, 1)
+
+    def test_response_without_an_era_counts_as_one_of_the_last(self):
+        """Guards against entries that one odd header sets back."""
+        self.standin.restore(self.copy)
+        self.store.read(0)
+        with mock.patch.object(store, "parse_store_era", lambda text: None):
+            self.assertEqual(self.store.read(0).listing.revision.era, 1)
+
+    def test_one_odd_response_begins_no_era(self):
+        """Guards against an era that no later response reaches."""
+        self.store.read(0)
+        eras = iter((900, 0, 0, 0))
+        with mock.patch.object(store, "parse_store_era", lambda text: next(eras)):
+            with self.assertRaises(StoreUnavailable):
+                self.store.read(0)
+            self.assertEqual(self.store.read(0).listing.revision.era, 0)
+
+    def test_version_that_is_no_number_is_no_read(self):
+        for version in (None, "7", -1, 1 << 60, 1.5, float("nan")):
+            with self.subTest(version), self.assertRaises(StoreUnavailable):
+                store.make_revision(0, version)
+
+
 class TestKeptConnections(unittest.TestCase):
     """The end of a kept connection is not taken for an outage of the store."""
 
