Let the soak play drills of the store

Operator and upstreams write again within 2 s what was lost, upstreams with their next sequence. One upstream ends without notice after the copy was made; its row is there again until the platform removes it 4.5 s after the return. Writes wait while the store is away. Sequences of the rows are counted by the soak; the other kinds write the same ones as before.

--- a/tests/tools/test_soak.py
+++ b/tests/tools/test_soak.py
@@ -6,13 +6,14 @@
 from tools.soak.history import (
     Bounds,
     Change,
+    Drill,
     History,
     IdleUse,
     Response,
     Run,
     find_violations,
 )
-from tools.soak.world import Plan, Soak
+from tools.soak.world import TROUBLES, USUAL_TROUBLES, Plan, Soak
 
 SOAK_SEED = 7
 SOAK_SECONDS = 45.0
@@ -101,6 +102,45 @@
         self.history.leaving["i1"] = 17.5
         self.assertEqual(self.rules(response(), runs=[office]), ["DRAIN"])
 
+    def test_drill_excuses_older_versions_until_the_second_acknowledgement(self):
+        """Guards against a drill that excuses a lost version for good."""
+        old = run(service="desk")
+        drill = Drill(returned_at=15.0, kept=1, written_again_at=16.5)
+        self.history.drills.append(drill)
+        for sent_at, expected in ((14.0, ["CONFIG"]), (18.4, []), (18.6, ["CONFIG"])):
+            with self.subTest(sent_at=sent_at):
+                sent = response(sent_at=sent_at, ended_at=sent_at + 0.1)
+                self.assertEqual(self.rules(sent, runs=[old]), expected)
+        drill.kept = 2
+        sent = response(sent_at=18.4, ended_at=18.5)
+        self.assertEqual(self.rules(sent, runs=[old]), ["CONFIG"])
+
+    def test_drill_excuses_no_entry_that_knew_of_a_leaving(self):
+        """Guards against a drill that excuses requests at a removed upstream."""
+        office = run(service="office")
+        self.history.leaving["i1"] = 8.0
+        self.history.drills.append(
+            Drill(returned_at=16.0, kept=2, left_again={"i1": 18.5})
+        )
+        self.assertEqual(self.rules(response(), runs=[office]), ["DRAIN"])
+        for troubles, expected in (
+            ([(9.0, 9.5, "pause")], []),
+            ([(12.0, 13.0, "kill")], []),
+            ([(12.0, 13.0, "pause")], ["DRAIN"]),
+            ([(1.0, 2.0, "kill")], ["DRAIN"]),
+        ):
+            with self.subTest(troubles=troubles):
+                self.history.troubles["e"] = troubles
+                self.assertEqual(self.rules(response(), runs=[office]), expected)
+                late = response(sent_at=20.6, ended_at=20.7)
+                self.assertEqual(self.rules(late, runs=[office]), ["DRAIN"])
+
+    def test_drill_is_no_usual_trouble(self):
+        """Guards against seeds that choose other troubles than before."""
+        usual = ["kill", "stop", "pause", "hup", "store", "row", "endless", "leave"]
+        self.assertEqual(USUAL_TROUBLES, usual)
+        self.assertEqual(list(TROUBLES), [*usual, "drill"])
+
     def test_entry_that_works_for_callers_that_have_left(self):
         held = {"caller_connections": 0.0, "requests_in_flight": 0.0}
         calm = IdleUse(entry="e", cores=0.005, held=held)
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -7,6 +7,7 @@
 __all__ = [
     "Bounds",
     "Change",
+    "Drill",
     "Finding",
     "History",
     "IdleUse",
@@ -17,6 +18,8 @@
 NOT_FOUND = 404
 # Time after the exit of a process in which callers notice that it has ended.
 EXIT_SLACK_S = 0.25
+# Troubles after which a new process runs, which knows nothing of before.
+RESTARTS = frozenset(("kill", "stop"))
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Memory of a machine of the platform.
 MAX_MEMORY_BYTES = 235_000_000
@@ -54,6 +57,24 @@
     routes: dict
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Drill:
+    """One return of the store from an older copy.
+
+    :param returned_at: time in s of the return
+    :param kept: number of the changes that the copy includes
+    :param written_again_at: time in s at which the store accepted the newest version
+        again, or a newer one
+    :param left_again: times in s at which the store accepted again that an upstream
+        leaves, by id of each upstream whose leaving the copy lacks
+    """
+
+    returned_at: float
+    kept: int
+    written_again_at: float = float("inf")
+    left_again: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Response:
     """One request as its caller saw it.
@@ -141,6 +162,8 @@
         self.runs = []
         # Times in s at which the store acknowledged that an upstream leaves, by id.
         self.leaving = {}
+        # Returns of the store from an older copy.
+        self.drills = []
         # Trouble by name of the entry, ``None`` for the store: lists of start and end
         # in s, and the kind.
         self.troubles = {}
@@ -194,15 +217,60 @@
         return f"{kind} lasts since {at - start:.3f} s"
 
     def versions_in_force(self, sent_at, ended_at):
-        """Return the changes by which a request may be handled."""
+        """Return the changes by which a request may be handled.
+
+        After a drill, these include the version of the copy until the bound has passed
+        from the second acknowledgement on.
+        """
         acknowledged = [c.acknowledged_at for c in self.changes]
         first = bisect.bisect_right(acknowledged, sent_at - self.bounds.apply) - 1
+        for drill in self.drills:
+            if (
+                drill.returned_at <= ended_at
+                and sent_at < drill.written_again_at + self.bounds.apply
+            ):
+                first = min(first, drill.kept - 1)
         return [
             change
             for index, change in enumerate(self.changes)
             if index >= first and change.sent_at <= ended_at
         ]
 
+    def has_learned(self, entry, left_at, at):
+        """Return whether an entry must know of an upstream's leaving by itself.
+
+        It was in touch while the bound passed, and the same process has run since.
+
+        :param left_at: time in s of the acknowledgement
+        :param at: time in s at which it is asked
+        """
+        return self.in_touch(entry, left_at, left_at + self.bounds.drain) and not any(
+            kind in RESTARTS and left_at < end and start < at
+            for start, end, kind in self.troubles.get(entry, ())
+        )
+
+    def leaving_in_force(self, instance, response):
+        """Return the time in s from which an entry is bound by an upstream's leaving.
+
+        A drill excuses only an entry that could not know of the leaving before, and
+        only until the second acknowledgement.
+
+        :param instance: id of the upstream
+        :param response: :class:`Response` of the request
+        :returns: the time, ``None`` if the upstream does not leave
+        """
+        left_at = self.leaving.get(instance)
+        if left_at is None or self.has_learned(
+            response.entry, left_at, response.sent_at
+        ):
+            return left_at
+        again = [
+            drill.left_again[instance]
+            for drill in self.drills
+            if instance in drill.left_again and drill.returned_at <= response.ended_at
+        ]
+        return max([left_at, *again])
+
 
 def find_violations(history):
     """Return the :class:`Finding` items of a history."""
@@ -313,7 +381,7 @@
 def check_drain(history, response, runs):
     """Yield findings on requests that reached an upstream too long after its notice."""
     for run in runs:
-        left_at = history.leaving.get(run.instance)
+        left_at = history.leaving_in_force(run.instance, response)
         if left_at is None or response.sent_at <= left_at + history.bounds.drain:
             continue
         if history.in_touch(response.entry, response.sent_at, response.ended_at):
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -1,5 +1,6 @@
 """A soak: store, upstreams, callers, entries, an operator and seeded troubles."""
 
+import collections
 import dataclasses
 import json
 import multiprocessing
@@ -13,7 +14,7 @@
 from tools.fleet.processes import find_free_ports
 from tools.soak.callers import HOST, call_entries, prefixes_of
 from tools.soak.fleet import EntryProcess
-from tools.soak.history import Bounds, Change, History, IdleUse
+from tools.soak.history import Bounds, Change, Drill, History, IdleUse
 from tools.soak.upstreams import ENDLESS_RESPONSES, serve_upstreams
 
 from monsoonline.standin.row_store import RowStoreFaults, RowStoreStandIn
@@ -33,14 +34,28 @@
 IDLE_S = 5.0
 # Time that a leaving upstream goes on serving after its notice.
 LEAVING_S = 8.0
+# Age in s of the copy from which the store returns, and time for which it is away.
+COPY_AGE_S = (3.0, 5.0)
+AWAY_S = (0.0, 2.0)
+# Times after a drill in s until operator and upstreams write again what was lost.
+WRITTEN_AGAIN_S = (0.2, 2.0)
+# Three heartbeats, after which the platform removes the row of a silent upstream.
+EXPIRY_S = 4.5
 TROUBLES = {}
+# Kinds of trouble that a plan includes unless it names its kinds.
+USUAL_TROUBLES = []
 
 
-def trouble(name):
-    """Register a method of :class:`Soak` as a kind of trouble."""
+def trouble(name, *, usual=True):
+    """Register a method of :class:`Soak` as a kind of trouble.
+
+    :param usual: whether plans include it that do not name their kinds
+    """
 
     def register(method):
         TROUBLES[name] = method
+        if usual:
+            USUAL_TROUBLES.append(name)
         return method
 
     return register
@@ -57,7 +72,8 @@
     :param interval_s: mean time between two versions of the configuration
     :param callers: number of callers
     :param pause_s: mean pause of a caller between two requests
-    :param troubles: names of the kinds of trouble to choose from, ``None`` for all
+    :param troubles: names of the kinds of trouble to choose from, ``None`` for the
+        usual ones
     :param gap_s: mean time between the starts of two troubles, which may overlap
     :param cores: number of processor cores for the entries, 0 for all
     """
@@ -85,10 +101,17 @@
         self._plan = plan
         self._folder = pathlib.Path(folder)
         self._generator = random.Random(plan.seed)
-        self._kinds = tuple(TROUBLES) if plan.troubles is None else plan.troubles
+        self._kinds = tuple(USUAL_TROUBLES) if plan.troubles is None else plan.troubles
         self._context = multiprocessing.get_context("spawn")
         self.history = History(bounds=Bounds())
-        self._store = RowStoreStandIn()
+        self._store = RowStoreStandIn(era=1)
+        # Held while the store is away for a drill, so that writes wait for its return.
+        self._store_lock = threading.Lock()
+        self._drill_lock = threading.Lock()
+        self._configuration = b""
+        # Rows of the upstreams as last written, ``None`` for a removed one.
+        self._rows = {}
+        self._sequences = collections.Counter()
         self._processes, self._caller_processes = [], []
         self._entries = {}
         # Entries with a trouble of their own in progress.
@@ -194,9 +217,8 @@
         for fields in specifications[:registered]:
             self._register(fields)
 
-    def _register(self, fields, state="ready", sequence=1):
-        self._store.write(
-            "servers",
+    def _register(self, fields, state="ready"):
+        self._write_row(
             fields["instance"],
             {
                 "address": f"{fields['host']}:{fields['port']}",
@@ -207,12 +229,31 @@
                     "zone": ZONES[int(fields["instance"][2:]) % len(ZONES)],
                     "slots": fields["slots"],
                 },
-                "status": {"state": state, "sequence": sequence, "cold_left": "0ms"},
+                "status": {"state": state, "cold_left": "0ms"},
             },
         )
         if state == "ready":
             self._registered.append(fields)
 
+    def _write_row(self, instance, document):
+        """Write the row of an upstream, or remove it if ``None``."""
+        with self._store_lock:
+            self._rows[instance] = document
+            self._send_row(instance)
+
+    def _send_row(self, instance):
+        """Write a row as it should be, with the next sequence, or remove it.
+
+        The caller holds the lock of the store.
+        """
+        document = self._rows[instance]
+        if document is None:
+            self._store.remove("servers", instance)
+            return
+        self._sequences[instance] += 1
+        status = document["status"] | {"sequence": self._sequences[instance]}
+        self._store.write("servers", instance, document | {"status": status})
+
     def _change_configuration(self):
         version = self._current.value + 1
         services = {"/moved/": list(SERVICES)[version // 2 % 2]}
@@ -245,12 +286,27 @@
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
         }
         content = json.dumps(document).encode()
-        sent_at = time.monotonic()
-        self._current.value = version
-        self._store.write("op", "config", content)
-        self.history.changes.append(
-            Change(sent_at=sent_at, acknowledged_at=time.monotonic(), routes=services)
-        )
+        with self._store_lock:
+            sent_at = time.monotonic()
+            self._current.value = version
+            self._configuration = content
+            acknowledged_at = self._write_configuration()
+            self.history.changes.append(
+                Change(
+                    sent_at=sent_at, acknowledged_at=acknowledged_at, routes=services
+                )
+            )
+
+    def _write_configuration(self):
+        """Write the newest configuration; return the time in s.
+
+        The caller holds the lock of the store.
+        """
+        self._store.write("op", "config", self._configuration)
+        acknowledged_at = time.monotonic()
+        for drill in self.history.drills:
+            drill.written_again_at = min(drill.written_again_at, acknowledged_at)
+        return acknowledged_at
 
     def _run_threads(self):
         threads = [threading.Thread(target=self._collect)]
@@ -439,16 +495,101 @@
         for fields in chosen:
             self._faults[fields["instance"]].value = 0
 
-    @trouble("leave")
-    def _leave(self, seed):
-        generator = random.Random(seed)
+    def _choose_leaving(self, generator):
+        """Return an upstream that leaves and its replacement, ``None`` if too few."""
         with self._lock:
             if not self._spare or len(self._registered) < 3:
-                return
+                return None
             fields = self._registered.pop(generator.randrange(len(self._registered)))
-            replacement = self._spare.pop()
+            return fields, self._spare.pop()
+
+    @trouble("leave")
+    def _leave(self, seed):
+        chosen = self._choose_leaving(random.Random(seed))
+        if chosen is None:
+            return
+        fields, replacement = chosen
         self._register(replacement)
-        self._register(fields, state="draining", sequence=2)
+        self._register(fields, state="draining")
         self.history.leaving[fields["instance"]] = time.monotonic()
         time.sleep(LEAVING_S)
-        self._store.remove("servers", fields["instance"])
+        self._write_row(fields["instance"], None)
+
+    # Not usual as long as entries break rules after it (issue 42).
+    @trouble("drill", usual=False)
+    def _drill(self, seed):
+        """Let the store be away and return from an older copy.
+
+        An upstream that ends without notice is in the copy, its replacement is not.
+        """
+        if not self._drill_lock.acquire(blocking=False):
+            return
+        try:
+            self._play_drill(random.Random(seed))
+        finally:
+            self._drill_lock.release()
+
+    def _play_drill(self, generator):
+        with self._store_lock:
+            copy, kept = self._store.take_copy(), len(self.history.changes)
+            rows = dict(self._rows)
+        began = time.monotonic()
+        self._end_without_notice(generator)
+        sleep_until(began + generator.uniform(*COPY_AGE_S))
+        with self._store_lock:
+            interval = self.history.begin_trouble(None, "drill")
+            self._store.faults = RowStoreFaults(status=503)
+            time.sleep(generator.uniform(*AWAY_S))
+            self._store.restore(copy)
+            self._store.faults = RowStoreFaults()
+            interval[1] = time.monotonic()
+            drill = Drill(returned_at=interval[1], kept=kept)
+            lost = [i for i, row in self._rows.items() if rows.get(i) != row]
+            drill.left_again.update(
+                (instance, float("inf"))
+                for instance in lost
+                if self._has_left(instance)
+            )
+            self.history.drills.append(drill)
+        self._write_again(drill, lost, generator)
+
+    def _end_without_notice(self, generator):
+        """Remove an upstream that has not said that it leaves, and replace it."""
+        chosen = self._choose_leaving(generator)
+        if chosen is not None:
+            fields, replacement = chosen
+            self._register(replacement)
+            self._write_row(fields["instance"], None)
+            self.history.leaving[fields["instance"]] = time.monotonic()
+
+    def _has_left(self, instance):
+        row = self._rows[instance]
+        return row is None or row["status"]["state"] == "draining"
+
+    def _write_again(self, drill, lost, generator):
+        """Write again what a drill has lost, as operator, upstreams and platform do.
+
+        :param lost: ids of the upstreams whose rows the store has lost or has again
+        """
+        # The empty id stands for the operator.
+        moments = [("", generator.uniform(*WRITTEN_AGAIN_S))]
+        moments += [
+            (instance, generator.uniform(*WRITTEN_AGAIN_S))
+            if self._rows[instance] is not None
+            else (instance, EXPIRY_S)
+            for instance in lost
+        ]
+        for instance, delay_s in sorted(moments, key=lambda moment: moment[1]):
+            sleep_until(drill.returned_at + delay_s)
+            with self._store_lock:
+                if instance:
+                    self._send_row(instance)
+                else:
+                    self._write_configuration()
+                if instance in drill.left_again:
+                    drill.left_again[instance] = time.monotonic()
+
+
+def sleep_until(moment_s):
+    """Sleep until a moment of the monotonic clock, in s."""
+    time.sleep(max(0.0, moment_s - time.monotonic()))
