Believe a restored store only after a read, and remember only true removals

- An entry that was cut off when its 60 s ended took older tables from the late message of another entry, after the operator had written again.
Only what the store itself has just stated may now bring a lower edition into effect.
- A removed upstream was used again once 10 s had passed at an entry that was cut off while the store removed it.
Now a read after that time is needed, too.
- An upstream that a copy lacked counted as removed when its 2.5 s ended, and was left out for 10 s after the next drill although it had registered again.
Only what goes missing within one era counts as removed, and that takes effect at once.

Why it works: the end of a time alone changes nothing that a cut-off entry cannot know.

--- a/src/monsoonline/core/restored_registrations.py
+++ b/src/monsoonline/core/restored_registrations.py
@@ -46,6 +46,8 @@
         # Registrations that the copy lacks, with the time since which they are missing.
         self._retained = {}
         self._hiding = False
+        # Era whose registrations are believed, since the store had time to remove.
+        self._believed_era = None
 
     @property
     def correcting(self):
@@ -59,22 +61,32 @@
         if len(self._removals) > MAX_REMOVALS:
             self._removals.popitem(last=False)
 
-    def note_changes(self, before, after, now):
+    def note_read(self, now):
+        """Record that a new state of the store was read.
+
+        What the store removes again in time may be missed by an entry that is cut off,
+        so that only a read ends the time for which a removed upstream is not used.
+        """
+        if self._eras.ms_since_seen(now) > REMOVAL_HOLD_MS:
+            self._believed_era = self._eras.era
+
+    def note_changes(self, before, after, *, crossed, now):
         """Record which starts of upstreams are no longer registered.
 
         :param before: :class:`monsoonline.core.registrations.Registration` by instance
         :param after: the same after the change
+        :param crossed: whether they belong to different eras, so that a copy may lack
+            what was not removed
         :param now: current time in ms
         """
-        restored = self._eras.ms_since_change(now) <= EXPIRY_GRACE_MS
         for instance, known in before.items():
             current = after.get(instance)
             if current is not None and current.born_ms == known.born_ms:
                 continue
-            if restored and not known.leaving and self._is_lost(known, current):
-                self._retained.setdefault(instance, (known, now))
-            else:
+            if not crossed:
                 self._note_removed(known)
+            elif not known.leaving and self._is_lost(known, current):
+                self._retained.setdefault(instance, (known, now))
 
     def apply(self, registrations, now):
         """Return the corrected registrations.
@@ -84,17 +96,15 @@
         """
         applied = {}
         for instance, registration in registrations.items():
-            if not self._is_removed(registration, now):
+            if not self._is_removed(registration):
                 applied[instance] = registration
                 self._removals.pop((instance, registration.born_ms), None)
         self._hiding = len(applied) < len(registrations)
         for instance, (known, since) in list(self._retained.items()):
             current = registrations.get(instance)
-            if current is not None and current.born_ms >= known.born_ms:
+            registered = current is not None and current.born_ms >= known.born_ms
+            if registered or now - since > EXPIRY_GRACE_MS:
                 del self._retained[instance]
-            elif now - since > EXPIRY_GRACE_MS:
-                del self._retained[instance]
-                self._note_removed(known)
             else:
                 applied[instance] = known
         return applied
@@ -121,9 +131,9 @@
         older = current is None or current.born_ms < known.born_ms
         return older and not self._was_removed(known)
 
-    def _is_removed(self, registration, now):
+    def _is_removed(self, registration):
         """Return whether only the copy contains a start of an upstream."""
-        held = self._eras.ms_since_seen(now) <= REMOVAL_HOLD_MS
+        held = self._believed_era != self._eras.era
         return held and self._was_removed(registration)
 
     def _was_removed(self, registration):
--- a/src/monsoonline/core/store_revisions.py
+++ b/src/monsoonline/core/store_revisions.py
@@ -57,7 +57,6 @@
     def __init__(self):
         self._era = None
         self._seen_at = None
-        self._changed_at = None
 
     @property
     def era(self):
@@ -74,19 +73,10 @@
         era = StoreRevision(revision).era
         if self._era is not None and era <= self._era:
             return False
-        changed = self._era is not None
+        first = self._era is None
         self._era, self._seen_at = era, now
-        if changed:
-            self._changed_at = now
-        return changed
+        return not first
 
     def ms_since_seen(self, now):
         """Return the time in ms since the newest era was first heard of."""
         return 0.0 if self._seen_at is None else now - self._seen_at
-
-    def ms_since_change(self, now):
-        """Return the time in ms since a new era followed a known one.
-
-        :returns: infinity if none did
-        """
-        return float("inf") if self._changed_at is None else now - self._changed_at
--- a/src/monsoonline/core/tables_order.py
+++ b/src/monsoonline/core/tables_order.py
@@ -45,32 +45,35 @@
         """Edition in effect, ``None`` if the operator gives none."""
         return self._edition
 
-    def lacks(self, revision, now):
+    def lacks(self, revision, now, *, stored):
         """Return whether tables may have to take effect.
 
         :param revision: their revision
         :param now: current time in ms
+        :param stored: whether the store has just stated it, not another entry, which
+            may hold what the operator has replaced since
         """
         revision = StoreRevision(revision)
         if self._revision and self._hold_is_over(now):
-            if revision.era > self._revision.era:
+            if stored and revision.era > self._revision.era:
                 return True
             if revision.era < self._eras.era:
                 return False
         return revision > self._decided.get(revision.era, 0)
 
-    def decide(self, revision, edition, now):
+    def decide(self, revision, edition, now, *, stored):
         """Return the :class:`Decision` on valid tables that this entry lacks.
 
         :param revision: their revision
         :param edition: their edition, ``None`` without one
         :param now: current time in ms
+        :param stored: as in :meth:`lacks`
         """
         era = StoreRevision(revision).era
         if not self._revision or era == self._revision.era:
             return Decision.USE
-        editions = (edition, self._edition)
-        if None in editions or edition == self._edition or self._hold_is_over(now):
+        believed = stored and self._hold_is_over(now)
+        if believed or None in (edition, self._edition) or edition == self._edition:
             newer = era > self._revision.era
         else:
             newer = edition > self._edition
--- a/src/monsoonline/entry/shared_state.py
+++ b/src/monsoonline/entry/shared_state.py
@@ -16,6 +16,11 @@
 
 # Limits the upstreams in one log line, since the first listing may have hundreds.
 MAX_LOGGED_UPSTREAMS = 20
+# Sources of tables and registrations in log lines.
+STORE = "store"
+ENTRY = "entry"
+NOTICE = "notice"
+RESPONSE = "response"
 
 logger = logging.getLogger(__name__)
 
@@ -77,12 +82,13 @@
         """Whether tables and registrations are known, as serving requests requires."""
         return bool(self.tables_revision and self._registrations.revision)
 
-    def lacks_tables(self, revision):
+    def lacks_tables(self, revision, *, stored=False):
         """Return whether tables may have to take effect, or to be found invalid.
 
-        :param revision: their revision, which another entry or the store has stated
+        :param revision: their revision
+        :param stored: whether the store has just stated it, not another entry
         """
-        return self._tables_order.lacks(revision, self._clock.now())
+        return self._tables_order.lacks(revision, self._clock.now(), stored=stored)
 
     def includes(self, tables_revision, registrations_revision):
         """Return whether a state of the store, or a newer one, is in effect.
@@ -95,7 +101,7 @@
             and registrations_revision <= self.registrations_revision
         )
 
-    def use_tables(self, revision, content, *, source="store"):
+    def use_tables(self, revision, content, *, source=STORE):
         """Apply stored tables if they are newer, see :class:`TablesOrder`.
 
         Invalid tables are logged with all their findings and never applied. After an
@@ -104,13 +110,13 @@
 
         :param revision: revision of the tables in the store
         :param content: tables as stored, in bytes
-        :param source: where they were read, ``store`` or ``entry``
+        :param source: where they were read, :data:`STORE` or :data:`ENTRY`
         """
         started = self._clock.now()
         revision = StoreRevision(revision)
         with self._lock:
             self._note_era(revision)
-            if not self.lacks_tables(revision):
+            if not self.lacks_tables(revision, stored=source == STORE):
                 return
             try:
                 tables = self._decode_tables(content, revision)
@@ -152,7 +158,9 @@
     def _postpone(self, revision, tables, source):
         """Return whether tables do not take effect, and record that they do not."""
         now = self._clock.now()
-        decision = self._tables_order.decide(revision, tables.edition, now)
+        decision = self._tables_order.decide(
+            revision, tables.edition, now, stored=source == STORE
+        )
         if decision is Decision.USE:
             return False
         self._tables_order.note_decided(revision)
@@ -189,11 +197,13 @@
         with self._lock:
             self._note_era(listing.revision)
             before = self._registrations.registrations
+            previous_revision = self._registrations.revision
             previous_digest = self._registrations.digest
             delta = self._registrations.apply_listing(
                 listing, now=now, ms_since_store_failure=ms_since_store_failure
             )
-            self._publish(before, "store")
+            self._restored.note_read(self._clock.now())
+            self._publish(before, previous_revision, STORE)
             if delta is not None:
                 return delta
             return RegistrationDelta(
@@ -210,15 +220,18 @@
         """
         with self._lock:
             if self._departures.note(instance, born_ms):
-                self._publish_registrations("response")
+                self._publish_registrations(RESPONSE)
 
     def use_delta(self, delta):
         """Apply a delta that another entry read; return whether it could be applied."""
         with self._lock:
             self._note_era(delta.revision)
             before = self._registrations.registrations
+            previous_revision = self._registrations.revision
             applied = self._registrations.apply_delta(delta)
-            self._publish(before, "notice")
+            if self._registrations.revision > previous_revision:
+                self._restored.note_read(self._clock.now())
+            self._publish(before, previous_revision, NOTICE)
             return applied
 
     def use_copy(self, copy):
@@ -227,18 +240,19 @@
             with self._lock:
                 for removal in copy.removals:
                     self._restored.note(removal)
-                self._publish_registrations("entry")
+                self._publish_registrations(ENTRY)
         if copy.tables:
-            self.use_tables(copy.tables_revision, copy.tables, source="entry")
+            self.use_tables(copy.tables_revision, copy.tables, source=ENTRY)
         if copy.registrations is None:
             return
         with self._lock:
             self._note_era(copy.registrations_revision)
             before = self._registrations.registrations
+            previous_revision = self._registrations.revision
             self._registrations.apply_full_state(
                 copy.registrations_revision, copy.registrations
             )
-            self._publish(before, "entry")
+            self._publish(before, previous_revision, ENTRY)
 
     def make_copy_for(
         self,
@@ -275,14 +289,19 @@
                 removals=self._restored.latest_removals() if include_removals else (),
             )
 
-    def _publish(self, before, source):
+    def _publish(self, before, previous_revision, source):
         """Publish the registrations if they, or their corrections, may have changed.
 
         :param before: registrations by instance before the change
+        :param previous_revision: their revision
         """
         after = self._registrations.registrations
         if after is not before:
-            self._restored.note_changes(before, after, self._clock.now())
+            era = StoreRevision(self._registrations.revision).era
+            crossed = era > StoreRevision(previous_revision).era
+            self._restored.note_changes(
+                before, after, crossed=crossed, now=self._clock.now()
+            )
         if after is not before or self._restored.correcting:
             self._publish_registrations(source)
 
--- a/src/monsoonline/entry/store_reader.py
+++ b/src/monsoonline/entry/store_reader.py
@@ -179,7 +179,7 @@
         delta = self._state.use_listing(
             stored.listing, now=now, ms_since_store_failure=ms_since_failure
         )
-        if self._state.lacks_tables(stored.tables_revision):
+        if self._state.lacks_tables(stored.tables_revision, stored=True):
             # Others must not take a read for complete whose tables are not in effect.
             return
         self._schedule.record_read(started)
