Specify the order of the store's states over its eras

The first design fails in three places, each kept as a guard: a hold whose end puts postponed tables in effect without a read of the store, tables of an earlier era that only starting entries ask for, and a lost registration that counts as removed.

--- a/src/monsoonline/verify/__init__.py
+++ b/src/monsoonline/verify/__init__.py
@@ -5,6 +5,8 @@
     configuration,
     drains,
     edits,
+    era_removals,
+    eras,
     permits,
 )
 from monsoonline.verify.specification import Specification, Verdict, specifications
