--- a/tests/entry/test_read_sharing.py
+++ b/tests/entry/test_read_sharing.py
@@ -24,6 +24,12 @@
 MAX_AGE_MS = 1_800.0
 
 
+def decode(content, revision):
+    """Return tables whose edition is the content, if that is a number."""
+    edition = int(content) if content.isdigit() else None
+    return Tables(revision=revision, edition=edition)
+
+
 class OffsetClock(ManualClock):
     """Clock of a machine that was started at another time than the others.
 
@@ -77,7 +83,7 @@
         self.own = member(f"entry-{number}", peer_address=f"10.0.0.{number + 1}:90")
         self.fleet = Fleet(own=self.own)
         self.state = state = SharedState(
-            decode_tables=lambda content, revision: Tables(revision=revision),
+            decode_tables=decode,
             on_tables=lambda tables: None,
             on_registrations=lambda registrations: None,
             metrics=metrics,
@@ -134,11 +140,12 @@
     """Delivers the messages of entries in the step after they were sent.
 
     :param count: number of entries
+    :param make_store: returns the store, given the clock
     """
 
-    def __init__(self, count):
+    def __init__(self, count, *, make_store=DatedStore):
         self.clock = ManualClock()
-        self._store = DatedStore(self.clock)
+        self._store = make_store(self.clock)
         self.entries = [
             SimulatedEntry(number, self.clock, self._store) for number in range(count)
         ]
