Draw drills of the store in the soak

The soak kept them apart while entries broke rules after them. Now a plan without a choice of kinds draws them with the others, at the end of the list, so that the test which guarded their absence checks the order of all kinds. Seeds draw other troubles than before.

--- a/tests/tools/test_soak.py
+++ b/tests/tools/test_soak.py
@@ -13,7 +13,7 @@
     Run,
     find_violations,
 )
-from tools.soak.world import TROUBLES, USUAL_TROUBLES, Plan, Soak
+from tools.soak.world import TROUBLES, Plan, Soak
 
 SOAK_SEED = 7
 SOAK_SECONDS = 45.0
@@ -135,11 +135,10 @@
                 late = response(sent_at=20.6, ended_at=20.7)
                 self.assertEqual(self.rules(late, runs=[office]), ["DRAIN"])
 
-    def test_drill_is_no_usual_trouble(self):
+    def test_drill_is_a_usual_trouble(self):
         """Guards against seeds that choose other troubles than before."""
-        usual = ["kill", "stop", "pause", "hup", "store", "row", "endless", "leave"]
-        self.assertEqual(USUAL_TROUBLES, usual)
-        self.assertEqual(list(TROUBLES), [*usual, "drill"])
+        earlier = ["kill", "stop", "pause", "hup", "store", "row", "endless", "leave"]
+        self.assertEqual(list(TROUBLES), [*earlier, "drill"])
 
     def test_entry_that_works_for_callers_that_have_left(self):
         held = {"caller_connections": 0.0, "requests_in_flight": 0.0}
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -28,7 +28,7 @@
     "troubles",
     multiple=True,
     type=click.Choice([*TROUBLES, "none"]),
-    help="Kind of trouble; all kinds but drill by default.",
+    help="Kind of trouble; all kinds by default.",
 )
 @click.option("--folder", help="Folder that keeps the logs; must exist.")
 def main(
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -42,20 +42,13 @@
 # Three heartbeats, after which the platform removes the row of a silent upstream.
 EXPIRY_S = 4.5
 TROUBLES = {}
-# Kinds of trouble that a plan includes unless it names its kinds.
-USUAL_TROUBLES = []
 
 
-def trouble(name, *, usual=True):
-    """Register a method of :class:`Soak` as a kind of trouble.
-
-    :param usual: whether plans include it that do not name their kinds
-    """
+def trouble(name):
+    """Register a method of :class:`Soak` as a kind of trouble."""
 
     def register(method):
         TROUBLES[name] = method
-        if usual:
-            USUAL_TROUBLES.append(name)
         return method
 
     return register
@@ -72,8 +65,7 @@
     :param interval_s: mean time between two versions of the configuration
     :param callers: number of callers
     :param pause_s: mean pause of a caller between two requests
-    :param troubles: names of the kinds of trouble to choose from, ``None`` for the
-        usual ones
+    :param troubles: names of the kinds of trouble to choose from, ``None`` for all
     :param gap_s: mean time between the starts of two troubles, which may overlap
     :param cores: number of processor cores for the entries, 0 for all
     """
@@ -101,7 +93,7 @@
         self._plan = plan
         self._folder = pathlib.Path(folder)
         self._generator = random.Random(plan.seed)
-        self._kinds = tuple(USUAL_TROUBLES) if plan.troubles is None else plan.troubles
+        self._kinds = tuple(TROUBLES) if plan.troubles is None else plan.troubles
         self._context = multiprocessing.get_context("spawn")
         self.history = History(bounds=Bounds())
         self._store = RowStoreStandIn(era=1)
@@ -515,8 +507,7 @@
         time.sleep(LEAVING_S)
         self._write_row(fields["instance"], None)
 
-    # Not usual as long as entries break rules after it (issue 42).
-    @trouble("drill", usual=False)
+    @trouble("drill")
     def _drill(self, seed):
         """Let the store be away and return from an older copy.
 
