Date no read before the first one of a reader

Cause: an exchange of the time may precede the first read of its reader that is in effect here. The read was then dated at minus infinity.

Change: such a reader dates nothing.

--- a/src/monsoonline/core/peer_reads.py
+++ b/src/monsoonline/core/peer_reads.py
@@ -103,10 +103,11 @@
 
         :param now: current time
         """
+        # An exchange may precede the first read.
         times = [
             clock.read_at + max(offsets)
             for clock in self._readers.values()
-            if (offsets := self._offsets(clock, now))
+            if clock.read_at > float("-inf") and (offsets := self._offsets(clock, now))
         ]
         # The sum can exceed the present only if a clock has jumped.
         return min(now, max(times)) if times else None
