State no negative age of a read

Cause: the time is taken before the newest read is looked up, and another thread may record one in between. Change: such an age is 0. The new test failed before.

--- a/src/monsoonline/core/read_schedule.py
+++ b/src/monsoonline/core/read_schedule.py
@@ -62,9 +62,9 @@
     def read_age_ms(self, now):
         """Return the age of the newest known successful read, ``None`` without one.
 
-        :param now: current time in ms
+        :param now: current time in ms; another thread may have recorded a read since
         """
-        return None if self._read_at is None else now - self._read_at
+        return None if self._read_at is None else max(0.0, now - self._read_at)
 
     def record_read(self, at):
         """Record a successful read by this or another entry.
--- a/tests/core/test_read_schedule.py
+++ b/tests/core/test_read_schedule.py
@@ -105,3 +105,9 @@
         schedule.record_read(100.0)
         schedule.record_read(50.0)
         self.assertEqual(schedule.read_at, 100.0)
+
+    def test_read_recorded_meanwhile_has_a_negative_age(self):
+        """Guards against a state of an entry that others reject."""
+        schedule = ReadSchedule(name="a")
+        schedule.record_read(100.0)
+        self.assertEqual(schedule.read_age_ms(41.0), 0.0)
