--- a/src/monsoonline/entry/shared_state.py
+++ b/src/monsoonline/entry/shared_state.py
@@ -140,8 +140,16 @@
                 return
             self._tables_order.note_used(revision, tables.edition)
             self._stored_tables = content
-        # Includes the wait for the lock and for the processor.
-        apply_ms = self._clock.now() - started
+            # Includes the wait for the lock and for the processor.
+            apply_ms = self._clock.now() - started
+            self._report_tables(tables, source, apply_ms)
+
+    def _report_tables(self, tables, source, apply_ms):
+        """Write the metrics and the log line of tables that have taken effect.
+
+        The lock is held, so that they are written in the order of the tables.
+        """
+        revision = self._tables_order.revision
         self._metrics.gauge("tables_revision", revision.version)
         self._metrics.observe("tables_apply_ms", apply_ms)
         logger.info(
@@ -151,7 +159,7 @@
                 "edition": tables.edition,
                 "source": source,
                 "apply_ms": round(apply_ms, 1),
-                "bytes": len(content),
+                "bytes": len(self._stored_tables),
             },
         )
 
