Count reads of older tables also beside newer registrations

The counter of a restored store can pass what entries hold while the row of the configuration stays below it: in a trial with three entries a route got 404 for 10 s, and the counter of older reads, which compared the registrations alone, stood still.

Change: both revisions are compared with those in effect when the read began, and the line names all four. The new test failed before.

--- a/src/monsoonline/entry/store_reader.py
+++ b/src/monsoonline/entry/store_reader.py
@@ -149,7 +149,7 @@
         return self._last_read_started_at + STARTUP_READ_INTERVAL_MS - now
 
     def _read(self):
-        known_revision = self._state.registrations_revision
+        known = (self._state.tables_revision, self._state.registrations_revision)
         started = self._last_read_started_at = self._clock.boot()
         self._schedule.record_attempt(started)
         try:
@@ -172,7 +172,7 @@
         ms_since_failure = (
             None if self._last_failure_at is None else now - self._last_failure_at
         )
-        self._note_order(stored.listing.revision, known_revision)
+        self._note_order((stored.tables_revision, stored.listing.revision), known)
         self._gate.note_revision(stored.tables_revision)
         if stored.tables is not None:
             self._state.use_tables(stored.tables_revision, stored.tables)
@@ -186,10 +186,16 @@
         self._gate.note_read(started)
         self._link.send_read_notice(started, delta)
 
-    def _note_order(self, revision, known_revision):
-        """Count a read that returned an older state than one known before it began."""
-        revision = StoreRevision(revision)
-        older = revision < known_revision
+    def _note_order(self, revisions, known):
+        """Count a read that returned an older state than one known before it began.
+
+        The counter of the store may have passed what is known while its tables are
+        older, so both are compared.
+
+        :param revisions: revisions of the tables and the registrations that were read
+        :param known: the revisions in effect when the read began
+        """
+        older = any(read < held for read, held in zip(revisions, known, strict=True))
         if older:
             self._metrics.count("store_older_reads_total")
         if older != self._store_is_older:
@@ -198,6 +204,10 @@
                 "store older than the state in effect"
                 if older
                 else "store as new as the state in effect again",
-                extra=revision.log_fields()
-                | {"known_revision": StoreRevision(known_revision).version},
+                extra={
+                    "tables": str(StoreRevision(revisions[0])),
+                    "registrations": str(StoreRevision(revisions[1])),
+                    "known_tables": str(StoreRevision(known[0])),
+                    "known_registrations": str(StoreRevision(known[1])),
+                },
             )
--- a/tests/entry/test_store_reader.py
+++ b/tests/entry/test_store_reader.py
@@ -28,6 +28,7 @@
         self.available = True
         self.revision = 1
         self.era = 0
+        self.tables_revision = 1
 
     def join(self, own):
         if not self.available:
@@ -40,7 +41,7 @@
             raise StoreUnavailable("status 503, expected 200")
         self.revision += 1
         return StoredState(
-            tables_revision=1,
+            tables_revision=self.tables_revision,
             tables=b"tables" if tables_revision < 1 else None,
             listing=Listing(
                 revision=StoreRevision.of(era=self.era, version=self.revision),
@@ -95,14 +96,24 @@
             for _ in range(4):
                 self.read_after(700.0, available=True)
         self.assertEqual(
-            [(record.message, record.revision) for record in captured.records],
+            [(r.message, r.registrations) for r in captured.records],
             [
-                ("store older than the state in effect", 1),
-                ("store as new as the state in effect again", 3),
+                ("store older than the state in effect", "1"),
+                ("store as new as the state in effect again", "3"),
             ],
         )
         self.assertEqual(self.metrics.value("store_older_reads_total"), 2)
 
+    def test_older_tables_beside_newer_registrations_are_counted(self):
+        """Guards against tables that stay late after the counter has caught up."""
+        self.read_after(0.0, available=True)
+        self.store.tables_revision = 0
+        with self.assertLogs(LOGGER, "WARNING") as captured:
+            self.read_after(700.0, available=True)
+        (record,) = captured.records
+        self.assertEqual((record.tables, record.known_tables), ("0", "1"))
+        self.assertEqual(self.metrics.value("store_older_reads_total"), 1)
+
     def test_row_of_this_entry_is_written_again_after_a_drill(self):
         """Guards against entries that a restored store no longer lists."""
         self.read_after(0.0, available=True)
