--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -25,9 +25,12 @@
 )
 GAUGE = re.compile(r"^monsoonline_(\w+)(?:\{\})? (\S+)$", re.MULTILINE)
 PEAK_KB = re.compile(r"^VmHWM:\s*(\d+) kB", re.MULTILINE)
+RESIDENT_KB = re.compile(r"^VmRSS:\s*(\d+) kB", re.MULTILINE)
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PLACEHOLDER = re.compile(r"\{\{([a-z_0-9.]+)(\|json)?\}\}")
 READY_TIMEOUT_S = 20.0
+MEMORY_MB = 235
+MAX_DESCRIPTORS = 3075
 TIMEOUT_S = 1.0
 POLL_S = 0.02
 
@@ -54,9 +57,23 @@
     :param folder: folder for settings and logs
     :param grace_s: time from SIGTERM until the platform kills a process, in s
     :param cores: numbers of the processor cores that it may use, all if empty
+    :param memory_mb: memory of its machine in MB
+    :param max_descriptors: limit of its open file descriptors
     """
 
-    def __init__(self, *, name, zone, ports, store, folder, grace_s, cores):
+    def __init__(
+        self,
+        *,
+        name,
+        zone,
+        ports,
+        store,
+        folder,
+        grace_s,
+        cores=(),
+        memory_mb=MEMORY_MB,
+        max_descriptors=MAX_DESCRIPTORS,
+    ):
         self.name = name
         self._cores = cores
         self._grace_s = grace_s
@@ -65,7 +82,7 @@
             "node_name": name,
             "zone": zone,
             "ip": "127.0.0.1",
-            "limits": {"memory_mb": 235, "max_fds": 3075},
+            "limits": {"memory_mb": memory_mb, "max_fds": max_descriptors},
             "listen": {
                 "front": f"127.0.0.1:{callers}",
                 "ready": f"127.0.0.1:{ready}",
@@ -91,6 +108,11 @@
         # Processes that ended without a signal that ends them.
         self.own_ends = 0
 
+    @property
+    def process_id(self):
+        """Operating system id of the process."""
+        return self._process.pid
+
     @property
     def running(self):
         """Whether the process is running."""
@@ -146,8 +168,19 @@
 
     def peak_bytes(self):
         """Return the largest resident memory of the process, in bytes."""
+        return self._status_bytes(PEAK_KB)
+
+    def resident_bytes(self):
+        """Return the resident memory of the process, in bytes."""
+        return self._status_bytes(RESIDENT_KB)
+
+    def open_descriptors(self):
+        """Return the number of open file descriptors of the process."""
+        return len(os.listdir(f"/proc/{self._process.pid}/fd"))
+
+    def _status_bytes(self, pattern):
         status = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
-        return int(PEAK_KB.search(status)[1]) << 10
+        return int(pattern.search(status)[1]) << 10
 
     def _note_own_end(self):
         if self._process is not None and self._process.poll() is not None:
