Let crowds of readers ask for answers beyond the kernel's buffers

Readers begin 30 ms apart and ask for 6 MB each, so that the answers wait in the entry and not in the kernel's send buffers.

--- a/tests/platform/crowds.py
+++ b/tests/platform/crowds.py
@@ -34,6 +34,9 @@
 # Connections of a caller in turn, and the time before each further one.
 CONNECTS = 6
 RECONNECT_S = 0.2
+# Time between the first connections of two readers, so that their answers are not
+# received at once.
+READER_STAGGER_S = 0.03
 SAMPLE_S = 0.05
 # A crowd is quiet when nothing has changed for this time.
 QUIET_S = 1.0
@@ -317,15 +320,18 @@
         for connection in self._sockets:
             connection.close()
 
-    def _add(self, count, behaviour, **connection):
-        async def run():
+    def _add(self, count, behaviour, *, stagger_s=0.0, **connection):
+        async def run(number):
+            await asyncio.sleep(number * stagger_s)
             for _ in range(CONNECTS):
                 with contextlib.suppress(OSError):
                     await behaviour(await self._connect(**connection))
                 await asyncio.sleep(RECONNECT_S)
 
         def start():
-            self._tasks += [self._loop.create_task(run()) for _ in range(count)]
+            self._tasks += [
+                self._loop.create_task(run(number)) for number in range(count)
+            ]
 
         self._loop.call_soon_threadsafe(start)
 
@@ -442,7 +448,12 @@
             while await self._loop.sock_recv(connection, piece_bytes):
                 await asyncio.sleep(interval_s)
 
-        self._add(count, behave, receive_buffer_bytes=SMALL_WINDOW_BYTES)
+        self._add(
+            count,
+            behave,
+            stagger_s=READER_STAGGER_S,
+            receive_buffer_bytes=SMALL_WINDOW_BYTES,
+        )
 
 
 class Watch:
--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -20,7 +20,8 @@
 # Leaves 30 connections, with one descriptor for each side and 200 for other uses.
 FEW_DESCRIPTORS = 260
 ALL_CONNECTIONS = 46
-ANSWER_BYTES = 2_000_000
+# Exceeds what the kernel keeps for a connection (4 MiB by default).
+ANSWER_BYTES = 6_000_000
 # What a slow reader takes at a time, and the time between two reads.
 READ_BYTES, READ_INTERVAL_S = 500, 0.2
 ORDINARY_BODY_BYTES = 2_000
