Send revisions as integers when a state is fetched

Found by a review: once the store had stated an era, no entry could fetch another's state any more.

Cause: the revision in the query was converted with str(), which gave the text for people, such as 1.26; the other entry expects an integer and answered 400. Each entry reads the store in the end, so no check of requests showed it.

Change: the text has a method of its own, and str() is that of an integer. The new test fetches over HTTP in an era of 1 and failed before.

--- a/src/monsoonline/core/store_revisions.py
+++ b/src/monsoonline/core/store_revisions.py
@@ -47,7 +47,8 @@
         """Return the fields of a log line that names the revision."""
         return {"revision": self.version, "era": self.era}
 
-    def __str__(self):
+    def describe(self):
+        """Return a text for people, such as ``2.1403`` for a version of era 2."""
         return f"{self.era}.{self.version}" if self.era else str(self.version)
 
 
--- a/src/monsoonline/entry/store_reader.py
+++ b/src/monsoonline/entry/store_reader.py
@@ -205,9 +205,9 @@
                 if older
                 else "store as new as the state in effect again",
                 extra={
-                    "tables": str(StoreRevision(revisions[0])),
-                    "registrations": str(StoreRevision(revisions[1])),
-                    "known_tables": str(StoreRevision(known[0])),
-                    "known_registrations": str(StoreRevision(known[1])),
+                    "tables": StoreRevision(revisions[0]).describe(),
+                    "registrations": StoreRevision(revisions[1]).describe(),
+                    "known_tables": StoreRevision(known[0]).describe(),
+                    "known_registrations": StoreRevision(known[1]).describe(),
                 },
             )
--- a/tests/core/test_store_revisions.py
+++ b/tests/core/test_store_revisions.py
@@ -17,12 +17,13 @@
 
     def test_revision_without_eras_is_the_version(self):
         self.assertEqual(StoreRevision.of(era=0, version=12), 12)
-        self.assertEqual(str(StoreRevision(12)), "12")
+        self.assertEqual(StoreRevision(12).describe(), "12")
 
     def test_revision_is_taken_apart_after_a_message(self):
         revision = StoreRevision(int(StoreRevision.of(era=MAX_ERA, version=7)))
         self.assertEqual((revision.era, revision.version), (MAX_ERA, 7))
-        self.assertEqual(str(revision), f"{MAX_ERA}.7")
+        self.assertEqual(revision.describe(), f"{MAX_ERA}.7")
+        self.assertEqual(int(str(revision)), revision)
         self.assertLess(revision, 2**63)
 
     def test_numbers_out_of_range_are_quoted(self):
--- a/tests/entry/test_fleet_service.py
+++ b/tests/entry/test_fleet_service.py
@@ -96,8 +96,11 @@
 class FleetTest(unittest.TestCase):
     """Base class with a store and two entries with one target."""
 
+    # Era of the store, None for a store that states none.
+    era = None
+
     def setUp(self):
-        self.store = RowStoreStandIn()
+        self.store = RowStoreStandIn(era=self.era)
         self.store.start()
         self.addCleanup(self.store.close)
         self.target = Target("i1", load="0,0,3,100", names=HEADERS)
@@ -216,6 +219,24 @@
         self.assertLessEqual(self.store.calls - before, 10)
 
 
+class TestRestoredStore(FleetTest):
+    """Entries of a store that was restored from a copy."""
+
+    era = 1
+
+    def test_state_cannot_be_fetched_in_a_later_era(self):
+        """Guards against a revision that is sent as a text for people."""
+        fetching, source = self.entries
+        peers = self.settings[1].listeners.peers
+        self.assertTrue(fetching._link.fetch_state(peers))
+        self.configure("/b/")
+        for number in (0, 1):
+            self.assertTrue(eventually(lambda n=number: self.status(n, "/b/1") == 200))
+        for entry in self.entries:
+            failures = entry.metrics.value("state_transfer_failures_total")
+            self.assertEqual(failures, 0)
+
+
 class TestPartition(FleetTest):
     """Entries that were cut off from each other find each other again."""
 
