Count no read whose result is older than what is in effect

Found by a review: an entry of an earlier version, which knows no eras, finds every read of a restored store older than what it holds, and still announces it as done.

Cause: a read counted once it had ended, whether its result was used or dropped.

Change: a read that returns an older state than one known before it began counts as none, and neither does the notice of a read of an earlier era. Notices of reads have a new name, so that entries of this version and of earlier ones read separately. The new test failed before.

--- a/src/monsoonline/adapters/fleet_codec.py
+++ b/src/monsoonline/adapters/fleet_codec.py
@@ -257,11 +257,13 @@
 def pack_read_notice(message):
     """Return a read notice as a list.
 
-    Its time is rounded down, so that the read never seems newer than it is.
+    Its time is rounded down, so that the read never seems newer than it is. Entries of
+    earlier versions, which announce reads as ``read``, do not know the eras of the
+    store and may announce one whose result they have dropped.
     """
     delta = message.delta
     return [
-        "read",
+        "store-read",
         pack_member(message.sender),
         message.incarnation,
         math.floor(message.read_at),
@@ -470,7 +472,7 @@
 
 UNPACKERS = {
     "beat": unpack_heartbeat,
-    "read": unpack_read_notice,
+    "store-read": unpack_read_notice,
     "failures": unpack_failure_notice,
     "loads": unpack_load_notice,
     "permit?": unpack_permit_request,
--- a/src/monsoonline/entry/fleet_link.py
+++ b/src/monsoonline/entry/fleet_link.py
@@ -36,6 +36,7 @@
 )
 from monsoonline.core.peer_reads import PeerReads, Reader
 from monsoonline.core.recipient_selection import RecipientSelector
+from monsoonline.core.store_revisions import StoreRevision
 from monsoonline.types import Answer
 
 __all__ = ["FleetLink"]
@@ -388,7 +389,8 @@
         lacks_tables = self._state.lacks_tables(notice.tables_revision)
         if not applied or lacks_tables:
             self._request_fetch(notice.sender)
-        else:
+        elif StoreRevision(notice.delta.revision).era >= self._state.era:
+            # Entries of earlier versions do not know eras, and find nothing new.
             self._peer_reads.note_read(reader, notice.read_at)
             self._record_peer_reads()
         now = self._clock.boot()
--- a/src/monsoonline/entry/store_reader.py
+++ b/src/monsoonline/entry/store_reader.py
@@ -172,15 +172,17 @@
         ms_since_failure = (
             None if self._last_failure_at is None else now - self._last_failure_at
         )
-        self._note_order((stored.tables_revision, stored.listing.revision), known)
+        older = self._note_order(
+            (stored.tables_revision, stored.listing.revision), known
+        )
         self._gate.note_revision(stored.tables_revision)
         if stored.tables is not None:
             self._state.use_tables(stored.tables_revision, stored.tables)
         delta = self._state.use_listing(
             stored.listing, now=now, ms_since_store_failure=ms_since_failure
         )
-        if self._state.lacks_tables(stored.tables_revision, stored=True):
-            # Others must not take a read for complete whose tables are not in effect.
+        if older or self._state.lacks_tables(stored.tables_revision, stored=True):
+            # Others must not take a read for complete whose result is not in effect.
             return
         self._schedule.record_read(started)
         self._gate.note_read(started)
@@ -194,6 +196,7 @@
 
         :param revisions: revisions of the tables and the registrations that were read
         :param known: the revisions in effect when the read began
+        :returns: whether the read did
         """
         older = any(read < held for read, held in zip(revisions, known, strict=True))
         if older:
@@ -211,3 +214,4 @@
                     "known_registrations": StoreRevision(known[1]).describe(),
                 },
             )
+        return older
--- a/tests/entry/test_store_reader.py
+++ b/tests/entry/test_store_reader.py
@@ -73,6 +73,7 @@
             on_registrations=lambda registrations: None,
             metrics=metrics,
         )
+        self.schedule = ReadSchedule(name="own")
         self.crashes = CrashTracker(clock=self.clock, owner="own")
         self.gate = StartGate(clock=self.clock, state=state)
         self.reader = StoreReader(
@@ -81,7 +82,7 @@
             fleet=Fleet(own=member("own")),
             state=state,
             gate=self.gate,
-            schedule=ReadSchedule(name="own"),
+            schedule=self.schedule,
             link=DiscardingLink(),
             crashes=self.crashes,
             metrics=metrics,
@@ -104,6 +105,16 @@
         )
         self.assertEqual(self.metrics.value("store_older_reads_total"), 2)
 
+    def test_read_of_an_older_state_counts_as_a_read(self):
+        """Guards against a fleet that waits for reads whose results are dropped."""
+        self.read_after(0.0, available=True)
+        self.store.revision = -1
+        self.read_after(700.0, available=True)
+        self.assertEqual(self.schedule.read_age_ms(self.clock.boot()), 700.0)
+        self.store.revision = 5
+        self.read_after(700.0, available=True)
+        self.assertEqual(self.schedule.read_age_ms(self.clock.boot()), 0.0)
+
     def test_older_tables_beside_newer_registrations_are_counted(self):
         """Guards against tables that stay late after the counter has caught up."""
         self.read_after(0.0, available=True)
