Let an entry that starts in a later era ask one that serves

Found by a review: an entry that started in a drill opened as soon as it had read the older copy itself, and answered 404 for an acknowledged route for up to 0.9 s. It sent 47 to 52 requests in 6 s to a removed upstream, where the copy held the same tables and nothing made it ask others; leaving upstreams that the copy shows as ready were not told to it at all. The check of revisions that others state could end with an error while they changed.

Cause: a read since the start counted as proof that nothing newer is known, and removals came only with a fetch that something else caused.

Change: where the store has been restored at some time, a new entry fetches the state of an entry that serves, with removals and departures, before it opens, or opens after 1 s as before. Revisions are compared under a lock. The four new tests failed before.

--- a/src/monsoonline/adapters/fleet_codec.py
+++ b/src/monsoonline/adapters/fleet_codec.py
@@ -179,7 +179,14 @@
     return [[item.instance, item.born_ms, item.era] for item in removals]
 
 
-def unpack_removals(rows=()):
+def unpack_departures(rows):
+    """Return the pairs of id and start time packed in lists."""
+    return tuple(
+        (unpack_text(instance), unpack_integer(born_ms)) for instance, born_ms in rows
+    )
+
+
+def unpack_removals(rows):
     """Return the :class:`Removal` items packed in lists."""
     return tuple(
         Removal(
@@ -588,8 +595,12 @@
             else [pack_registration(item) for item in registrations],
             state.read_age_ms,
             pack_ages(state.members),
-            # Entries of earlier versions, which do not ask for removals, expect none.
-            *([pack_removals(state.removals)] if state.removals else ()),
+            # Entries of earlier versions, which do not ask for them, expect none.
+            *(
+                [pack_removals(state.removals), list(map(list, state.departures))]
+                if state.serving
+                else ()
+            ),
         ]
     )
 
@@ -602,7 +613,8 @@
     document = decompress(content)
     try:
         tables_revision, tables, revision, registrations, *others = document
-        read_age_ms, members, *removals = others
+        read_age_ms, members, *past = others
+        removals, departures = past or ((), ())
         return messages.SharedStateCopy(
             tables_revision=unpack_integer(tables_revision),
             tables=unpack_tables(tables),
@@ -612,7 +624,9 @@
             else tuple(unpack_registration(row) for row in registrations),
             read_age_ms=unpack_optional(read_age_ms),
             members=unpack_ages(members),
-            removals=unpack_removals(*removals),
+            removals=unpack_removals(removals),
+            departures=unpack_departures(departures),
+            serving=bool(past),
         )
     except INVALID_VALUE_ERRORS as error:
         raise ValueError(f"invalid state of an entry: {error!r}") from error
--- a/src/monsoonline/core/departures.py
+++ b/src/monsoonline/core/departures.py
@@ -7,6 +7,8 @@
 
 # Far more than leave within the time for which a write can be late, at any size.
 MAX_DEPARTURES = 20_000
+# Departures that are sent to an entry that has just started.
+MAX_SENT_DEPARTURES = 200
 
 
 class Departures:
@@ -36,6 +38,10 @@
             self._left.popitem(last=False)
         return True
 
+    def latest(self):
+        """Return the latest pairs of id and start time, for a new entry."""
+        return tuple(self._left)[-MAX_SENT_DEPARTURES:]
+
     def apply(self, registrations):
         """Return registrations in which all that have left are leaving.
 
--- a/src/monsoonline/core/fleet_messages.py
+++ b/src/monsoonline/core/fleet_messages.py
@@ -131,8 +131,10 @@
     :param registrations: all registrations, ``None`` if the requesting entry has them
     :param read_age_ms: age of the newest known read of the store
     :param members: all members known to the sending entry
-    :param removals: upstreams that were removed lately, empty if the requesting entry
-        knows them
+    :param removals: upstreams that were removed lately
+    :param departures: id and start time of upstreams that were leaving lately
+    :param serving: whether the sender serves and has included removals and departures,
+        which the requesting entry asks for once
     """
 
     tables_revision: int
@@ -142,6 +144,8 @@
     read_age_ms: float | None
     members: tuple[MemberAge, ...]
     removals: tuple[Removal, ...] = ()
+    departures: tuple[tuple[str, int], ...] = ()
+    serving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/monsoonline/entry/fleet_link.py
+++ b/src/monsoonline/entry/fleet_link.py
@@ -65,6 +65,9 @@
 STATE_PATH = "/fleet/state"
 # Value of a query parameter that asks for a part of the state.
 INCLUDED = "1"
+# Time after the start in which removals are asked for. Entries of earlier versions do
+# not send them.
+REMOVALS_REQUEST_MS = 5_000.0
 
 logger = logging.getLogger(__name__)
 
@@ -129,7 +132,8 @@
         self._failures = []
         self._lock = threading.Lock()
         self._fetch_from = None
-        # Whether a state of another entry has been fetched since the start.
+        self._started_at = clock.now()
+        # Whether the state of an entry that serves was fetched since the start.
         self._removals_known = False
         self._fetch_requested = threading.Event()
         self._receiver = None
@@ -244,7 +248,7 @@
             digest=query.get("registrations", ""),
             read_age_ms=self._read_age_ms(),
             members=self._all_member_ages(),
-            include_removals=query.get("removals") == INCLUDED,
+            include_past=query.get("removals") == INCLUDED and self._fleet.own.ready,
         )
         # Entries of earlier versions read plain tables only.
         compressed = query.get("compression") == TABLES_COMPRESSION
@@ -286,13 +290,15 @@
             return False
         finally:
             connection.close()
-        self._removals_known = True
         self._metrics.count("state_transfers_total")
         now = self._clock.now()
         for item in copy.members:
             self._fleet.update_relayed(item, now=now)
         self._gate.note_revision(copy.tables_revision)
         self._state.use_copy(copy)
+        if copy.serving:
+            self._removals_known = True
+            self._gate.note_peer_state()
         if copy.read_age_ms is not None and self._state.includes(
             copy.tables_revision, copy.registrations_revision
         ):
@@ -379,9 +385,18 @@
         state = self._state
         newer = heartbeat.registrations_revision > state.registrations_revision
         differs = heartbeat.registrations_digest != state.registrations_digest
-        if state.lacks_tables(heartbeat.tables_revision) or (newer and differs):
+        if (
+            state.lacks_tables(heartbeat.tables_revision)
+            or (newer and differs)
+            or (heartbeat.sender.ready and self._lacks_removals(now))
+        ):
             self._request_fetch(heartbeat.sender)
 
+    def _lacks_removals(self, now):
+        """Return whether to ask for what others know of a store that was restored."""
+        starting = now - self._started_at < REMOVALS_REQUEST_MS
+        return starting and self._state.era > 0 and not self._removals_known
+
     def _handle_read_notice(self, notice):
         reader = Reader(name=notice.sender.name, incarnation=notice.incarnation)
         self._gate.note_revision(notice.tables_revision)
--- a/src/monsoonline/entry/shared_state.py
+++ b/src/monsoonline/entry/shared_state.py
@@ -244,10 +244,12 @@
 
     def use_copy(self, copy):
         """Apply the parts of another entry's complete state that are newer."""
-        if copy.removals:
+        if copy.serving:
             with self._lock:
                 for removal in copy.removals:
                     self._restored.note(removal)
+                for instance, born_ms in copy.departures:
+                    self._departures.note(instance, born_ms)
                 self._publish_registrations(ENTRY)
         if copy.tables:
             self.use_tables(copy.tables_revision, copy.tables, source=ENTRY)
@@ -269,7 +271,7 @@
         digest,
         read_age_ms,
         members,
-        include_removals=False,
+        include_past=False,
     ):
         """Return the parts of the state that another entry lacks.
 
@@ -277,7 +279,8 @@
         :param digest: digest of the other entry's registrations
         :param read_age_ms: age in ms of the newest read known to this entry
         :param members: :class:`monsoonline.core.fleet.MemberAge` items to include
-        :param include_removals: whether to include removals of upstreams
+        :param include_past: whether to include removals and departures of upstreams,
+            as an entry that serves does
         """
         requested = StoreRevision(tables_revision)
         with self._lock:
@@ -294,7 +297,9 @@
                 else None,
                 read_age_ms=read_age_ms,
                 members=members,
-                removals=self._restored.latest_removals() if include_removals else (),
+                removals=self._restored.latest_removals() if include_past else (),
+                departures=self._departures.latest() if include_past else (),
+                serving=include_past,
             )
 
     def _publish(self, before, previous_revision, source):
--- a/src/monsoonline/entry/start_gate.py
+++ b/src/monsoonline/entry/start_gate.py
@@ -1,5 +1,7 @@
 """Decides when a starting entry has caught up with the others and may serve."""
 
+import threading
+
 from monsoonline.core.store_revisions import StoreRevision
 
 __all__ = ["START_LIMIT_MS", "StartGate"]
@@ -28,6 +30,8 @@
         # Newest revision of tables that others have stated, by era of the store.
         self._heard = {}
         self._crashes_known = False
+        self._peer_state_known = False
+        self._lock = threading.Lock()
 
     @property
     def open(self):
@@ -36,10 +40,15 @@
             return False
         if self._clock.now() - self._started_at >= START_LIMIT_MS:
             return True
-        behind = any(map(self._state.lacks_tables, self._heard.values()))
+        with self._lock:
+            heard = tuple(self._heard.values())
+        behind = any(map(self._state.lacks_tables, heard))
+        # A store that was restored just now may hold less than the other entries.
+        proven = self._peer_state_known or self._state.era == 0
         return (
             self._crashes_known
             and self._read_at >= self._started_at_boot_time
+            and proven
             and not behind
         )
 
@@ -50,7 +59,12 @@
     def note_revision(self, revision):
         """Record the revision of tables that another entry has, or the store."""
         era = StoreRevision(revision).era
-        self._heard[era] = max(self._heard.get(era, 0), revision)
+        with self._lock:
+            self._heard[era] = max(self._heard.get(era, 0), revision)
+
+    def note_peer_state(self):
+        """Record that the state of an entry that serves was fetched."""
+        self._peer_state_known = True
 
     def note_read(self, at):
         """Record that all that a read of the store has found is known here.
--- a/tests/adapters/test_fleet_codec.py
+++ b/tests/adapters/test_fleet_codec.py
@@ -152,6 +152,8 @@
             read_age_ms=None,
             members=(),
             removals=(Removal(instance="i1", born_ms=9, era=2),),
+            departures=(("i2", 5),),
+            serving=True,
         )
         self.assertEqual(decode_state(encode_state(state)), state)
 
@@ -188,9 +190,12 @@
             compress([5, ["zlib", "AAAA"], 9, None, None, []]),
             compress([5, ["other", ""], 9, None, None, []]),
             compress([5, {}, 9, None, None, []]),
-            compress([5, "", 9, None, None, [], [["i1", 9]]]),
-            compress([5, "", 9, None, None, [], [["i1", 9, 1 << 40]]]),
-            compress([5, "", 9, None, None, [], [["i1", float("nan"), 1]]]),
+            compress([5, "", 9, None, None, [], []]),
+            compress([5, "", 9, None, None, [], [["i1", 9]], []]),
+            compress([5, "", 9, None, None, [], [["i1", 9, 1 << 40]], []]),
+            compress([5, "", 9, None, None, [], [["i1", float("nan"), 1]], []]),
+            compress([5, "", 9, None, None, [], [], [["i1", -1]]]),
+            compress([5, "", 9, None, None, [], [], ["i1"]]),
         ):
             with self.subTest(content), self.assertRaises(ValueError):
                 decode_state(content)
--- a/tests/entry/test_restored_fleet.py
+++ b/tests/entry/test_restored_fleet.py
@@ -91,7 +91,7 @@
             digest=entry.state.registrations_digest,
             read_age_ms=None,
             members=(),
-            include_removals=True,
+            include_past=True,
         )
         entry.state.use_copy(copy)
 
--- a/tests/entry/test_shared_state.py
+++ b/tests/entry/test_shared_state.py
@@ -287,7 +287,7 @@
                 digest=starting.registrations_digest,
                 read_age_ms=1.0,
                 members=(),
-                include_removals=True,
+                include_past=True,
             )
         )
         self.assertEqual(self.tables[-1], (100, b"edition 7"))
@@ -296,6 +296,24 @@
         self.assertFalse(starting.lacks_tables(self.state.tables_revision))
         self.assertFalse(starting.lacks_tables(revision_of(1, 26)))
 
+    def test_entry_that_starts_in_a_drill_learns_which_upstreams_leave(self):
+        """Guards against a leaving upstream that the older copy shows as ready."""
+        ready = registration("i1", born_ms=5)
+        self.listing(self.state, 100, dataclasses.replace(ready, leaving=True))
+        starting = self.make()
+        self.listing(starting, revision_of(1, 30), ready)
+        self.assertFalse(self.published[-1]["i1"].leaving)
+        starting.use_copy(
+            self.state.make_copy_for(
+                tables_revision=0,
+                digest="",
+                read_age_ms=1.0,
+                members=(),
+                include_past=True,
+            )
+        )
+        self.assertTrue(self.published[-1]["i1"].leaving)
+
     def test_entry_that_was_cut_off_during_the_drill_takes_the_new_era(self):
         self.state.use_tables(100, b"edition 7")
         cut_off = self.make()
--- a/tests/entry/test_start_gate.py
+++ b/tests/entry/test_start_gate.py
@@ -1,10 +1,12 @@
 """Tests of the decision when a starting entry may serve."""
 
 import unittest
+from unittest import mock
 
 from monsoonline.clock import ManualClock
 from monsoonline.core.model import Tables
 from monsoonline.core.registrations import Listing
+from monsoonline.core.store_revisions import StoreRevision
 from monsoonline.entry.shared_state import SharedState
 from monsoonline.entry.start_gate import START_LIMIT_MS, StartGate
 from monsoonline.errors import Finding, FindingsError
@@ -80,3 +82,31 @@
         self.apply(5)
         self.gate.note_revision(9)
         self.assertTrue(self.gate.open)
+
+    def test_read_of_a_store_that_was_restored_just_now_is_taken_for_the_newest(self):
+        """Guards against a new entry that serves by the older copy."""
+        self.apply(StoreRevision.of(era=1, version=5))
+        self.gate.note_read(self.clock.now())
+        self.assertFalse(self.gate.open)
+        self.gate.note_peer_state()
+        self.assertTrue(self.gate.open)
+
+    def test_entry_that_starts_alone_waits_for_others(self):
+        self.apply(StoreRevision.of(era=1, version=5))
+        self.gate.note_read(self.clock.now())
+        self.clock.advance(START_LIMIT_MS)
+        self.assertTrue(self.gate.open)
+
+    def test_new_era_that_is_heard_of_meanwhile_ends_the_check(self):
+        """Guards against revisions that change while they are compared."""
+        self.apply(5)
+        self.gate.note_read(self.clock.now())
+        self.gate.note_revision(5)
+        lacks_tables = self.state.lacks_tables
+
+        def lacks_and_hears(revision):
+            self.gate.note_revision(StoreRevision.of(era=1, version=3))
+            return lacks_tables(revision)
+
+        with mock.patch.object(self.state, "lacks_tables", lacks_and_hears):
+            self.assertTrue(self.gate.open)
