Take each list of registrations for one of the era in which it was read

Found by a review, shown by tests: where a list of a later era was equal to the one known, a notice of it left the known revision in the earlier era, so that the next real removal seemed to be missing in the copy and was kept for 2.5 s. A removal of an earlier era that was heard of after the later one counted as removed by the restored store, and the copy brought the upstream back.

Cause: the era was taken from what had been heard of last, or not taken over at all.

Change: a notice of an equal list takes over its revision, and a removal has the era of the lists that show it. Both new tests failed before.

--- a/src/monsoonline/core/registrations.py
+++ b/src/monsoonline/core/registrations.py
@@ -156,8 +156,11 @@
         """
         if delta.revision <= self._revision:
             return True
+        if delta.digest == self._digest:
+            self._replace(delta.revision, self._registrations)
+            return True
         if delta.base != self._digest:
-            return delta.digest == self._digest
+            return False
         registrations = dict(self._registrations)
         for instance in delta.removed:
             registrations.pop(instance, None)
--- a/src/monsoonline/core/restored_registrations.py
+++ b/src/monsoonline/core/restored_registrations.py
@@ -70,12 +70,12 @@
         if self._eras.ms_since_seen(now) > REMOVAL_HOLD_MS:
             self._believed_era = self._eras.era
 
-    def note_changes(self, before, after, *, crossed, now):
+    def note_changes(self, before, after, *, eras, now):
         """Record which starts of upstreams are no longer registered.
 
         :param before: :class:`monsoonline.core.registrations.Registration` by instance
         :param after: the same after the change
-        :param crossed: whether they belong to different eras, so that a copy may lack
+        :param eras: eras of the store before and after the change; a copy may lack
             what was not removed
         :param now: current time in ms
         """
@@ -83,8 +83,8 @@
             current = after.get(instance)
             if current is not None and current.born_ms == known.born_ms:
                 continue
-            if not crossed:
-                self._note_removed(known)
+            if eras[0] == eras[1]:
+                self._note_removed(known, eras[1])
             elif not known.leaving and self._is_lost(known, current):
                 self._retained.setdefault(instance, (known, now))
 
@@ -117,14 +117,9 @@
             for (instance, born_ms), era in latest
         )
 
-    def _note_removed(self, registration):
-        self.note(
-            Removal(
-                instance=registration.instance,
-                born_ms=registration.born_ms,
-                era=self._eras.era,
-            )
-        )
+    def _note_removed(self, registration, era):
+        instance, born_ms = registration.instance, registration.born_ms
+        self.note(Removal(instance=instance, born_ms=born_ms, era=era))
 
     def _is_lost(self, known, current):
         """Return whether the copy may lack a start of an upstream."""
--- a/src/monsoonline/entry/shared_state.py
+++ b/src/monsoonline/entry/shared_state.py
@@ -310,11 +310,9 @@
         """
         after = self._registrations.registrations
         if after is not before:
-            era = StoreRevision(self._registrations.revision).era
-            crossed = era > StoreRevision(previous_revision).era
-            self._restored.note_changes(
-                before, after, crossed=crossed, now=self._clock.now()
-            )
+            revisions = (previous_revision, self._registrations.revision)
+            eras = tuple(StoreRevision(revision).era for revision in revisions)
+            self._restored.note_changes(before, after, eras=eras, now=self._clock.now())
         if after is not before or self._restored.correcting:
             self._publish_registrations(source)
 
--- a/tests/core/test_restored_registrations.py
+++ b/tests/core/test_restored_registrations.py
@@ -24,14 +24,17 @@
         self.restored = RestoredRegistrations(eras=self.eras)
         self.eras.note(100, 0.0)
         self.listed = {}
+        self.era = 0
         self.gone, self.stays = registration("i1", born_ms=5), registration("i2")
         self.use(self.gone, self.stays)
         self.use(self.stays)
 
-    def use(self, *registrations, now=0.0, crossed=False):
+    def use(self, *registrations, now=0.0, era=None):
         """Read registrations from the store; return the corrected ones."""
         listed = by_instance(*registrations)
-        self.restored.note_changes(self.listed, listed, crossed=crossed, now=now)
+        eras = (self.era, self.era if era is None else era)
+        self.era = eras[1]
+        self.restored.note_changes(self.listed, listed, eras=eras, now=now)
         self.restored.note_read(now)
         self.listed = listed
         return self.restored.apply(listed, now)
@@ -39,7 +42,7 @@
     def restore(self, *registrations, now=0.0, era=1):
         """Restore the store from a copy with the registrations."""
         self.eras.note(StoreRevision.of(era=era, version=10), now)
-        return self.use(*registrations, now=now, crossed=True)
+        return self.use(*registrations, now=now, era=era)
 
     def test_upstream_that_the_older_copy_contains_again_is_not_used(self):
         """Guards against requests to upstreams that were removed before a drill."""
@@ -105,6 +108,12 @@
         late = EXPIRY_GRACE_MS + 1.0
         self.assertEqual(self.use(self.stays, now=late), {})
 
+    def test_removal_of_an_earlier_era_is_heard_of_late(self):
+        """Guards against a removed upstream that counts as removed by the copy."""
+        self.eras.note(StoreRevision.of(era=1, version=1), 0.0)
+        self.use()
+        self.assertEqual(set(self.restore(self.stays)), set())
+
     def test_removal_without_a_drill_takes_effect_at_once(self):
         self.assertEqual(self.use(), {})
         self.assertFalse(self.restored.correcting)
--- a/tests/entry/test_shared_state.py
+++ b/tests/entry/test_shared_state.py
@@ -314,6 +314,17 @@
         )
         self.assertTrue(self.published[-1]["i1"].leaving)
 
+    def test_removal_after_a_notice_of_the_same_registrations(self):
+        """Guards against a removal that seems to be missing in the copy only."""
+        both = registration("i1"), registration("i2")
+        self.listing(self.state, 100, *both)
+        reader = self.make()
+        self.state.use_delta(self.listing(reader, revision_of(1, 50), *both))
+        self.clock.advance(700.0)
+        delta = self.listing(reader, revision_of(1, 60), both[1])
+        self.assertTrue(self.state.use_delta(delta))
+        self.assertEqual(set(self.published[-1]), {"i2"})
+
     def test_entry_that_was_cut_off_during_the_drill_takes_the_new_era(self):
         self.state.use_tables(100, b"edition 7")
         cut_off = self.make()
