Let every entry read the store once when it stops waiting for the operator

Found by a review, shown by tests: 60 s after a drill without a second writing only the entry that reads took over the store's tables. The others believe no neighbour then, so the fleet kept two versions for ever. Tables of the later era that are not valid were decoded and logged with each read, none of which counted.

Cause: the end of a wait needs the word of the store, but most entries do not read it.

Change: at that time an entry reads once by itself, and invalid tables are remembered. Both new tests failed before.

--- a/src/monsoonline/core/tables_order.py
+++ b/src/monsoonline/core/tables_order.py
@@ -34,6 +34,11 @@
         self._edition = None
         # Newest revision of each era that is in effect, postponed or invalid.
         self._decided = {}
+        # Newest invalid revision of each era.
+        self._invalid = {}
+        # Newest era of postponed tables, and the last one that was read after its hold.
+        self._postponed_era = 0
+        self._believed_era = 0
 
     @property
     def revision(self):
@@ -45,6 +50,16 @@
         """Edition in effect, ``None`` if the operator gives none."""
         return self._edition
 
+    def awaits_read(self, now):
+        """Return whether this entry has to read the store itself.
+
+        No other entry is believed at the end of a hold, and without a read the entries
+        would keep different tables.
+        """
+        era = self._postponed_era
+        awaits = era > self._revision.era and era > self._believed_era
+        return awaits and self._hold_is_over(now)
+
     def lacks(self, revision, now, *, stored):
         """Return whether tables may have to take effect.
 
@@ -56,7 +71,7 @@
         revision = StoreRevision(revision)
         if self._revision and self._hold_is_over(now):
             if stored and revision.era > self._revision.era:
-                return True
+                return revision > self._invalid.get(revision.era, 0)
             if revision.era < self._eras.era:
                 return False
         return revision > self._decided.get(revision.era, 0)
@@ -82,10 +97,25 @@
     def note_used(self, revision, edition):
         """Record that tables are in effect."""
         self._revision, self._edition = StoreRevision(revision), edition
-        self.note_decided(revision)
+        self._note_decided(revision)
+
+    def note_postponed(self, revision):
+        """Record that tables do not take effect for the time being."""
+        self._postponed_era = max(self._postponed_era, StoreRevision(revision).era)
+        self._note_decided(revision)
+
+    def note_invalid(self, revision):
+        """Record that tables are not valid."""
+        revision = StoreRevision(revision)
+        self._invalid[revision.era] = revision
+        self._note_decided(revision)
+
+    def note_read(self, now):
+        """Record that this entry has read the store."""
+        if self._hold_is_over(now):
+            self._believed_era = self._eras.era
 
-    def note_decided(self, revision):
-        """Record that tables are postponed or invalid."""
+    def _note_decided(self, revision):
         revision = StoreRevision(revision)
         known = self._decided.get(revision.era, 0)
         self._decided[revision.era] = max(known, revision)
--- a/src/monsoonline/entry/shared_state.py
+++ b/src/monsoonline/entry/shared_state.py
@@ -90,6 +90,11 @@
         """
         return self._tables_order.lacks(revision, self._clock.now(), stored=stored)
 
+    @property
+    def awaits_read(self):
+        """Whether this entry has to read the store itself, whatever others read."""
+        return self._tables_order.awaits_read(self._clock.now())
+
     def includes(self, tables_revision, registrations_revision):
         """Return whether a state of the store, or a newer one, is in effect.
 
@@ -124,7 +129,7 @@
                     return
                 self._on_tables(tables)
             except FindingsError as error:
-                self._tables_order.note_decided(revision)
+                self._tables_order.note_invalid(revision)
                 self._metrics.count("tables_refused_total")
                 logger.error(
                     "stored tables are not valid; the previous tables stay in effect",
@@ -171,7 +176,7 @@
         )
         if decision is Decision.USE:
             return False
-        self._tables_order.note_decided(revision)
+        self._tables_order.note_postponed(revision)
         self._metrics.count("tables_postponed_total")
         logger.warning(
             "tables of another era postponed; the previous tables stay in effect",
@@ -211,6 +216,7 @@
                 listing, now=now, ms_since_store_failure=ms_since_store_failure
             )
             self._restored.note_read(self._clock.now())
+            self._tables_order.note_read(self._clock.now())
             self._publish(before, previous_revision, STORE)
             if delta is not None:
                 return delta
--- a/src/monsoonline/entry/store_reader.py
+++ b/src/monsoonline/entry/store_reader.py
@@ -139,11 +139,11 @@
     def _due_in_ms(self):
         """Return the time in ms until this entry reads; 0 or less means now."""
         now = self._clock.boot()
-        if self._state.complete:
+        if self._state.complete and not self._state.awaits_read:
             return self._schedule.due_in_ms(
                 now, self._fleet.live_names(self._clock.now())
             )
-        # An entry that cannot serve yet does not wait for its turn.
+        # An entry that needs a read of its own does not wait for its turn.
         if self._last_read_started_at is None:
             return 0.0
         return self._last_read_started_at + STARTUP_READ_INTERVAL_MS - now
--- a/tests/core/test_tables_order.py
+++ b/tests/core/test_tables_order.py
@@ -30,7 +30,7 @@
         if decision is Decision.USE:
             self.order.note_used(revision, edition)
             return True
-        self.order.note_decided(revision)
+        self.order.note_postponed(revision)
         return False
 
     def test_tables_written_again_take_effect_though_their_version_is_lower(self):
@@ -106,7 +106,27 @@
 
     def test_invalid_tables_hide_no_later_ones(self):
         self.offer(0, 100, edition=7)
-        self.order.note_decided(revision_of(0, 101))
+        self.order.note_invalid(revision_of(0, 101))
         self.assertFalse(self.order.lacks(revision_of(0, 101), 0.0, stored=True))
         self.assertTrue(self.offer(1, 5, edition=8))
         self.assertTrue(self.offer(1, 6, edition=9))
+
+    def test_invalid_tables_of_a_later_era_are_decoded_once(self):
+        """Guards against a read that never counts because of invalid tables."""
+        self.offer(0, 100, edition=7)
+        self.eras.note(revision_of(1, 26), 0.0)
+        self.order.note_invalid(revision_of(1, 26))
+        late = 1.0 + TABLES_HOLD_MS
+        self.assertFalse(self.order.lacks(revision_of(1, 26), late, stored=True))
+        self.assertTrue(self.order.lacks(revision_of(1, 27), late, stored=True))
+
+    def test_every_entry_reads_once_at_the_end_of_a_hold(self):
+        """Guards against entries that keep different tables for ever."""
+        self.offer(0, 100, edition=7)
+        self.assertFalse(self.order.awaits_read(0.0))
+        self.offer(1, 26, edition=5)
+        self.assertFalse(self.order.awaits_read(TABLES_HOLD_MS))
+        late = 1.0 + TABLES_HOLD_MS
+        self.assertTrue(self.order.awaits_read(late))
+        self.order.note_read(late)
+        self.assertFalse(self.order.awaits_read(late))
