Write again after a drill what the entries keep, at little cost

Found by a review. A drill between the write of an entry's row and the read of the list took the row back, and the entry did not join again (shown by a test). Blocked requests were written again by those entries alone that had observed the crashes, which may have ended.

Change: the two calls of a join must state the same era. All entries that know a blocked request offer it to the store, one after another, and write only what it lacks. Only the first join is announced. The new tests of the join and of the second write failed before.

--- a/src/monsoonline/core/crashes.py
+++ b/src/monsoonline/core/crashes.py
@@ -20,6 +20,7 @@
     "MAX_RECORDED_REPORTS",
     "CrashReport",
     "CrashTracker",
+    "includes_reports",
     "merge_reports",
 ]
 
@@ -159,6 +160,21 @@
     return tuple(ordered[:MAX_RECORDED_REPORTS])
 
 
+def includes_reports(kept, reports):
+    """Return whether reports contain the crashes and completions of others.
+
+    :param kept: :class:`CrashReport` items
+    :param reports: the others
+    """
+    known = {report.fingerprint: report for report in kept}
+    return all(
+        report.fingerprint in known
+        and report.incidents <= known[report.fingerprint].incidents
+        and report.cleared <= known[report.fingerprint].cleared
+        for report in reports
+    )
+
+
 def is_duration(value):
     """Return whether a JSON value is a time in ms for which a report is kept."""
     return is_number(value) and 0 <= value <= SUSPECT_LIFETIME_MS
@@ -322,15 +338,16 @@
             return self._reports(f for f in fingerprints if f in self._suspects)
 
     def record_again(self):
-        """Record all blocked requests that this entry has observed.
+        """Record all blocked requests that this entry knows of.
 
-        The store may have lost what it kept of them.
+        The store may have lost what it kept of them, and the entries that have observed
+        the crashes may have ended.
         """
         with self._lock:
             self._unrecorded |= {
                 fingerprint: None
                 for fingerprint, suspect in self._suspects.items()
-                if suspect.observed and suspect.uncleared_count >= CRASHES_TO_BLOCK
+                if suspect.uncleared_count >= CRASHES_TO_BLOCK
             }
             unrecorded = bool(self._unrecorded)
         if unrecorded:
--- a/src/monsoonline/entry/shared_state.py
+++ b/src/monsoonline/entry/shared_state.py
@@ -191,8 +191,9 @@
 
     def _note_era(self, revision):
         """Record the era of a revision that another entry or the store has stated."""
-        if self._eras.note(revision, self._clock.now()):
-            self._metrics.gauge("store_era", self._eras.era)
+        changed = self._eras.note(revision, self._clock.now())
+        self._metrics.gauge("store_era", self._eras.era)
+        if changed:
             logger.warning(
                 "the store was restored from a copy",
                 extra=StoreRevision(revision).log_fields(),
--- a/src/monsoonline/entry/store_reader.py
+++ b/src/monsoonline/entry/store_reader.py
@@ -91,6 +91,7 @@
                 MIN_REJOIN_SPREAD_MS, REJOIN_INTERVAL_MS * len(self._fleet.others())
             )
             self._stopping.wait(spread_ms * self._generator.random() / 1e3)
+            self._crashes.record_again()
 
     def _join(self):
         """Register in the store, learn the other entries and announce this one."""
@@ -108,9 +109,10 @@
                 for report in joined.crashes:
                     self._crashes.observe(report)
                 self._gate.note_crashes_known()
+                if not self._joined:
+                    self._link.announce()
                 self._joined = True
                 self._joined_era = joined.era
-                self._link.announce()
                 return
             self._stopping.wait(retry_ms * (0.5 + self._generator.random()) / 1e3)
             retry_ms = min(MAX_JOIN_RETRY_MS, 2 * retry_ms)
@@ -133,7 +135,6 @@
         """Write again what the store has lost that this entry wrote there."""
         if self._joined and self._state.era > self._joined_era:
             self._joined_era = self._state.era
-            self._crashes.record_again()
             self._rejoin_requested.set()
 
     def _due_in_ms(self):
--- a/src/monsoonline/platform/store.py
+++ b/src/monsoonline/platform/store.py
@@ -13,7 +13,7 @@
 
 from monsoonline.adapters.bounded_connection import BoundedConnection
 from monsoonline.core.checked_fields import parse_time_ms
-from monsoonline.core.crashes import merge_reports
+from monsoonline.core.crashes import includes_reports, merge_reports
 from monsoonline.core.registrations import Listing
 from monsoonline.core.store_revisions import StoreRevision
 from monsoonline.errors import FindingsError, StoreUnavailable
@@ -239,8 +239,11 @@
         # The write has no condition, so a call whose response was lost can be repeated.
         document = {"expected_revision": [], "put": [row], "remove": []}
         self._join_connection.call("POST", "/-/rows-tx", document=document)
+        era = self._join_connection.era
         page = self._read_rows(self._join_connection, ENTRIES_TABLE)
         self._join_connection.close()
+        if page.era != era:
+            raise StoreUnavailable(f"era {page.era} follows era {era} within one call")
         rows = [row for row in page.rows if row["key"] != CRASHES_KEY]
         return JoinedFleet(
             members=self._decode_rows(ENTRIES_TABLE, rows, decode_member),
@@ -251,13 +254,19 @@
     def record_crashes(self, reports):
         """Merge reports into what is kept of requests that crash upstreams.
 
+        Nothing is written if the store has them already.
+
         :param reports: :class:`monsoonline.core.crashes.CrashReport` items
         :raises StoreUnavailable: if a call failed, or another entry has written
             meanwhile; the call can be repeated
         """
         connection = self._crash_connection
         page = self._read_rows(connection, ENTRIES_TABLE, key=CRASHES_KEY)
-        merged = merge_reports(self._decode_crashes(page), reports)
+        kept = self._decode_crashes(page)
+        merged = merge_reports(kept, reports)
+        if includes_reports(kept, merged):
+            connection.close()
+            return
         content = encode_crashes(merged, page.now_ms)
         row = {"table": ENTRIES_TABLE, "part": "", "key": CRASHES_KEY}
         version = page.rows[0]["ver"] if page.rows else 0
--- a/tests/entry/test_store_reader.py
+++ b/tests/entry/test_store_reader.py
@@ -139,11 +139,13 @@
         self.read_after(700.0, available=True)
         self.reader._rejoin_after_loss()
         self.assertTrue(self.reader._rejoin_requested.is_set())
-        self.assertEqual(self.unrecorded(), {"worse"})
         self.reader._rejoin_requested.clear()
         self.reader._join()
         self.reader._rejoin_after_loss()
         self.assertFalse(self.reader._rejoin_requested.is_set())
+        self.crashes.record_again()
+        # Also what another entry has observed, which may have ended.
+        self.assertEqual(self.unrecorded(), {"bad", "worse"})
 
     def unrecorded(self):
         return {report.fingerprint for report in self.crashes.take_unrecorded()}
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -206,6 +206,32 @@
         self.assertEqual(after.listing.revision.era, 1)
         self.assertEqual(self.store.join(member("a")).era, 1)
 
+    def test_row_that_a_drill_takes_back_at_once_counts_as_written(self):
+        """Guards against an entry that no other one finds in the list."""
+        call = StoreConnection.call
+
+        def restore_after_the_write(own, method, *args, **options):
+            document = call(own, method, *args, **options)
+            if method == "POST":
+                self.standin.restore(self.copy)
+            return document
+
+        with (
+            mock.patch.object(StoreConnection, "call", restore_after_the_write),
+            self.assertRaisesRegex(StoreUnavailable, "era 1 follows era 0"),
+        ):
+            self.store.join(member("a"))
+        members = self.store.join(member("a")).members
+        self.assertEqual([m.name for m in members], ["a"])
+
+    def test_crashes_that_the_store_keeps_are_written_again(self):
+        """Guards against a write of each entry after a drill."""
+        report = CrashReport(fingerprint="f", incidents=("1", "2"))
+        self.store.record_crashes((report,))
+        version = self.standin.take_copy().version
+        self.store.record_crashes((report,))
+        self.assertEqual(self.standin.take_copy().version, version)
+
     def test_read_that_a_drill_interrupts_is_no_read(self):
         """Guards against tables of one era beside registrations of another."""
         self.store.read(0)
