Choose ports far from those of processes started at the same moment

Change: 509 ports apart. Two processes can still choose the same port, but not because they start one after the other.

--- a/tools/fleet/processes.py
+++ b/tools/fleet/processes.py
@@ -19,6 +19,8 @@
 # the port of a process while it restarts.
 FIRST_PORT = 20_000
 PORT_COUNT = 10_000
+# More ports than one process needs.
+PORT_STRIDE = 509
 
 
 class StartFailed(Exception):
@@ -101,7 +103,8 @@
 def find_free_ports(count):
     """Return ports that are free on loopback for both TCP and UDP."""
     ports = []
-    start = os.getpid() * 97 + time.monotonic_ns() // 1_000_000
+    # Processes that are started at the same moment look in different parts.
+    start = os.getpid() * PORT_STRIDE + time.monotonic_ns() // 1_000_000
     for offset in range(PORT_COUNT):
         port = FIRST_PORT + (start + offset) % PORT_COUNT
         if all(is_free(port, kind) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)):
