--- a/src/monsoonline/adapters/http_parser.py
+++ b/src/monsoonline/adapters/http_parser.py
@@ -8,10 +8,10 @@
     ParsingError,
     TransferEncodingNotImplemented,
 )
-from waitress.utilities import Error
+from waitress.utilities import BadRequest, Error
 
 from monsoonline.adapters.http_headers import remove_hop_by_hop
-from monsoonline.adapters.receive_budget import ReceiveBudgetExceeded
+from monsoonline.core.memory_account import MemoryRefused
 from monsoonline.types import Request
 
 __all__ = ["METHODS", "BodiesTooLarge", "StrictRequestParser", "to_request"]
@@ -19,11 +19,16 @@
 METHODS = frozenset(("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"))
 VERSIONS = frozenset(("1.0", "1.1"))
 TARGET = re.compile(r"[\x21-\x7e]+")
+# Memory of the parsed form of a header line.
+HEADER_LINE_BYTES = 256
+# Longest line before a chunk of a body, and longest trailers after it.
+MAX_CHUNK_LINE_BYTES = 1024
+MAX_TRAILER_BYTES = 16 << 10
 HOST = re.compile(r"[A-Za-z0-9._\-]*(?::[0-9]*)?|\[[0-9A-Fa-f:.]+\](?::[0-9]*)?")
 
 
 class BodiesTooLarge(Error):
-    """The bodies of all requests in progress leave no memory for another one."""
+    """The messages in progress leave no memory for another request."""
 
     code = 503
     reason = "Service Unavailable"
@@ -35,43 +40,72 @@
     waitress joins repeated headers and lets chunked coding override Content-Length.
     Request smuggling exploits that implementations differ in both.
 
-    :param adj: adjustments of waitress with a ``body_budget``, the
-        :class:`monsoonline.adapters.receive_budget.ReceiveBudget` of all bodies
+    :param adj: adjustments of waitress
+    :param memory: :class:`monsoonline.core.memory_account.MemoryHolder` of the
+        connection, ``None`` for a request that is not counted
     """
 
     header_pairs = ()
     host = ""
+    path = ""
 
-    def __init__(self, adj):
+    def __init__(self, adj, *, memory=None):
         super().__init__(adj)
-        self._body_bytes = adj.body_budget.open()
-        self._length_counted = False
+        self._memory = memory
+        self._head_bytes = 0
 
     def received(self, data):
-        """Parse received bytes and count those of the body; called by waitress."""
-        body_bytes = self.body_bytes_received
-        consumed = super().received(data)
-        if self.body_rcv is not None and self.error is None:
-            try:
-                self._count_body(self.body_bytes_received - body_bytes)
-            except ReceiveBudgetExceeded as error:
-                self.close()
-                self.error = BodiesTooLarge(str(error))
-                self.expect_continue = False
-                self.completed = True
+        """Parse received bytes and count those that are kept; called by waitress."""
+        try:
+            consumed = super().received(data)
+            if self.headers_finished:
+                self.header_plus = b""
+            if self.error is None:
+                self._check_chunk_lines()
+                self._count_memory()
+        except MemoryRefused as error:
+            self.refuse(str(error))
+        except ValueError:
+            # Another thread has closed the buffer of a request that gave way.
+            if self._memory is None or not self._memory.gave_way:
+                raise
+            self.refuse("the request gave way to others")
+            consumed = len(data)
         return consumed
 
-    def close(self):
-        """Release the body; called by waitress after the response."""
-        self._body_bytes.reset()
-        super().close()
+    def refuse(self, message):
+        """Drop what was received; the request is refused for want of memory."""
+        self.close()
+        self.error = BodiesTooLarge(message)
+        self.expect_continue = False
+        self.completed = True
 
-    def _count_body(self, received):
-        if self.chunked:
-            self._body_bytes.add(received)
-        elif not self._length_counted:
-            self._length_counted = True
-            self._body_bytes.add_whole(self.content_length)
+    def close(self):
+        """Release the request; called by waitress after the response."""
+        self.drop_body()
+        if self._memory is not None:
+            self._memory.release()
+
+    def drop_body(self):
+        """Free the memory of the body."""
+        if self.body_rcv is not None:
+            self.body_rcv.getbuf().close()
+
+    def _check_chunk_lines(self):
+        if not self.chunked or self.body_rcv is None:
+            return
+        receiver = self.body_rcv
+        if (
+            len(receiver.control_line) > MAX_CHUNK_LINE_BYTES
+            or len(receiver.trailer) > MAX_TRAILER_BYTES
+        ):
+            self.error = BadRequest("a line of the chunked body is too long")
+            self.completed = True
+
+    def _count_memory(self):
+        if self._memory is not None:
+            body_bytes = len(self.body_rcv) if self.body_rcv is not None else 0
+            self._memory.resize(len(self.header_plus) + self._head_bytes + body_bytes)
 
     def parse_header(self, header_plus):
         """Parse and check the request line and the headers.
@@ -81,6 +115,7 @@
             coding (status 501)
         """
         self.header_pairs = self._split_headers(header_plus)
+        self._head_bytes = len(header_plus) + HEADER_LINE_BYTES * len(self.header_pairs)
         super().parse_header(header_plus)
         if self.version not in VERSIONS:
             raise ParsingError(f"HTTP version {self.version!r}, expected 1.0 or 1.1")
@@ -153,12 +188,13 @@
     return host.partition(":")[0].lower()
 
 
-def to_request(parsed, *, cancellation=None):
+def to_request(parsed, *, cancellation=None, memory=None):
     """Convert a completed parser to a request.
 
     :param parsed: a completed :class:`StrictRequestParser`
     :param cancellation: the :class:`monsoonline.adapters.cancellation.Cancellation` of
         the request, ``None`` for a request that is never cancelled
+    :param memory: :class:`monsoonline.core.memory_account.MemoryHolder` of the request
     :returns: :class:`monsoonline.types.Request` with the whole body
     """
     body_receiver = parsed.body_rcv
@@ -170,4 +206,5 @@
         # The value of the file is not copied, unlike what is read from it.
         body=body_receiver.getfile().getvalue() if body_receiver is not None else b"",
         cancellation=cancellation,
+        memory=memory,
     )
--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -31,15 +31,27 @@
     StrictRequestParser,
     to_request,
 )
-from monsoonline.adapters.receive_budget import ReceiveBudget
+from monsoonline.adapters.socket_queue import unacknowledged_bytes
+from monsoonline.clock import SystemClock
+from monsoonline.core.memory_account import MemoryAccount, MemoryRefused, Phase
 from monsoonline.core.model import CallerLimits
+from monsoonline.core.peer_pace import PeerPace
 from monsoonline.types import Answer, Outcome
 
 __all__ = ["HttpServer"]
 
 RECEIVE_BYTES = 64 << 10
-# Exceeds the largest response, since no other thread drains a channel's buffer.
-MAX_OUTPUT_BYTES = 64 << 20
+# Bytes to receive at the start of a request, which bounds what a caller pipelines.
+FIRST_RECEIVE_BYTES = 16 << 10
+# Kernel memory for received bytes of a connection.
+RECEIVE_BUFFER_BYTES = 32 << 10
+# Larger bodies of responses are sent apart from the head, which saves a copy.
+MAX_JOINED_BODY_BYTES = 64 << 10
+# Longest wait for a caller until the thread of its connection checks its state.
+WAIT_SLICE_MS = 500.0
+# Time in ms by which a caller may be behind before its connection may be closed for
+# another one.
+BEHIND_MS = 1_000.0
 # Maximum time for a caller to receive all buffered bytes of a response.
 TRANSFER_TIMEOUT_MS = 30_000.0
 BACKLOG = 1024
@@ -49,16 +61,18 @@
 # has been written, to become idle. Only that connection's thread has to run for this.
 IDLE_WAIT_MS = 100
 IDLE_POLL_MS = 0.5
-# Sum of the bodies of all requests in progress, unless the server is given another.
-DEFAULT_BODY_BYTES = 256 << 20
+# Limit of all messages in progress, unless the server is given an account.
+DEFAULT_MESSAGE_BYTES = 256 << 20
 # Exceeds each body, since a file would count as memory and be copied.
 MAX_BUFFERED_BODY_BYTES = 1 << 40
-# Delay after which a request may be repeated that found no memory for its body.
+# Delay after which a request may be repeated that found no memory.
 BODY_RETRY_AFTER_S = 1
 BODY_ERRORS = (BodiesTooLarge, RequestEntityTooLarge)
 # Time for which a refused body is still received: closing a connection with unread
 # bytes would reset it, and the caller would lose the response.
-LINGER_MS = 1_000.0
+LINGER_MS = 5_000.0
+# Time without a byte of a refused body after which the connection is closed.
+LINGER_IDLE_MS = 1_000.0
 NO_BODY_STATUSES = frozenset((204, 304))
 CONNECTION_LIMIT_RESPONSE = (
     b"HTTP/1.1 503 Service Unavailable\r\nMonsoonline-Outcome: not-run\r\n"
@@ -85,10 +99,10 @@
     return f"HTTP/1.1 {status} {reason}"
 
 
-def encode_response(response: Answer, *, method, close, keep_alive=False):
-    """Return the encoded bytes of a response.
+def encode_head(response: Answer, *, method, close, keep_alive=False):
+    """Return the encoded head of a response.
 
-    :param method: method of the request, which decides whether a body follows
+    :param method: method of the request
     :param close: whether the connection is closed after this response
     :param keep_alive: whether to send ``Connection: keep-alive``, as HTTP/1.0 callers
         require for a connection that stays open
@@ -113,10 +127,7 @@
     elif keep_alive:
         lines.append("Connection: keep-alive")
     lines.append("\r\n")
-    head = "\r\n".join(lines).encode("latin-1")
-    if method == "HEAD" or response.status in NO_BODY_STATUSES:
-        return head
-    return head + response.body
+    return "\r\n".join(lines).encode("latin-1")
 
 
 def to_timeval(duration_ms):
@@ -137,8 +148,10 @@
         caller = None if channel.read_shut_down else channel.socket
         cancellation = Cancellation(caller=caller)
         response = channel.server.application(
-            to_request(parsed, cancellation=cancellation)
+            to_request(parsed, cancellation=cancellation, memory=channel.memory)
         )
+        parsed.drop_body()
+        channel.begin_delivery(len(response.body))
         connection = parsed.headers.get("CONNECTION", "").lower()
         tokens = [token.strip() for token in connection.split(",")]
         http_1_0 = parsed.version == "1.0"
@@ -150,11 +163,18 @@
         )
         self.close_on_finish = close
         self.wrote_header = True
-        channel.write_soon(
-            encode_response(
-                response, method=parsed.command, close=close, keep_alive=http_1_0
-            )
+        head = encode_head(
+            response, method=parsed.command, close=close, keep_alive=http_1_0
         )
+        body = response.body
+        if parsed.command == "HEAD" or response.status in NO_BODY_STATUSES:
+            body = b""
+        if len(body) <= MAX_JOINED_BODY_BYTES:
+            channel.write_soon(head + body)
+        else:
+            channel.write_soon(head)
+            if channel.connected:
+                channel.write_soon(body)
 
 
 class RefusalTask(waitress.task.ErrorTask):
@@ -188,15 +208,76 @@
     # Time of the last write of a response, None while no response is being written.
     # The caller can act on the response before this thread continues.
     last_write_at = None
-    # Time by which the buffered bytes must be sent.
+    # Whether a request was received from this connection.
+    used = False
+    # Time by which the bytes of a response must be sent.
     _send_deadline = 0.0
     _idle_timeout_ms = None
+    # Bytes sent that the caller has not acknowledged.
+    _unread = 0
+    # Input that follows the request in progress.
+    _unparsed = b""
+    # Whether the connection may be closed, since no request runs.
+    _interruptible = False
+    # Whether the connection was closed for another one.
+    _interrupted = False
 
     def __init__(self, *args, **fields):
         super().__init__(*args, **fields)
         # Held while the connection becomes idle or busy or is closed as idle. Closing
         # therefore either happens before a request begins or does not happen.
         self._idle_lock = threading.Lock()
+        self._pace = PeerPace()
+        self.memory = self.adj.memory_account.open(
+            phase=Phase.RECEIVING, pace=self._pace, give_way=self._give_way
+        )
+
+    @property
+    def behind_ms(self):
+        """Time in ms by which the caller is behind, 0 while a request runs."""
+        if not self._interruptible:
+            return 0.0
+        return self._pace.behind_ms(self.server.clock.now())
+
+    def interrupt(self):
+        """Close the connection unless a request is waited for or runs.
+
+        :returns: whether it was closed
+        """
+        with self._idle_lock:
+            if not self._interruptible:
+                return False
+            self._interruptible = False
+            self._interrupted = True
+            try:
+                self.socket.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                logger.debug("connection was already closed")
+        return True
+
+    def del_channel(self, map=None):
+        """Stop counting the connection; called by waitress when it is closed."""
+        if self.server.active_channels.get(self._fileno) is self:
+            self.adj.memory_account.release_connection()
+        super().del_channel(map)
+
+    def begin_delivery(self, size):
+        """Count the response in place of the request.
+
+        :param size: size of the body of the response
+        """
+        self.memory.enter(Phase.DELIVERING)
+        self.memory.force(size + len(self._unparsed))
+
+    def _give_way(self):
+        """Drop the request that is being received, or close the connection."""
+        if self.memory.phase is Phase.RECEIVING:
+            request = self.request
+            if request is not None:
+                request.drop_body()
+            return True
+        self.interrupt()
+        return False
 
     def close_if_idle(self):
         """Shut down reading if the connection is waiting for a request.
@@ -238,12 +319,12 @@
             while self.connected and not self.close_when_flushed:
                 if not self._receive_request():
                     break
-                while self.requests and self.connected:
-                    self.service()
-                    if self.total_outbufs_len:
-                        # Left by an unexpected error that waitress has logged.
-                        return
+                self._handle_requests()
+                if self.total_outbufs_len:
+                    # Left by an unexpected error that waitress has logged.
+                    return
             if self.body_refused and self.connected:
+                self._unparsed = b""
                 self._discard_input()
         except OSError:
             # The caller reset the connection, so no response can be sent.
@@ -255,15 +336,71 @@
             for request in (*self.requests, self.request):
                 if request is not None:
                     request.close()
+            self.memory.release()
             self.handle_close()
 
+    def _handle_requests(self):
+        """Handle the requests that have been received, one after another."""
+        while self.requests and self.connected:
+            self.service()
+            if self.total_outbufs_len:
+                return
+            if not self.close_when_flushed:
+                self._parse_next()
+
+    def recv(self, buffer_size):
+        """Receive some bytes; called by waitress."""
+        return super().recv(
+            FIRST_RECEIVE_BYTES if self.request is None else buffer_size
+        )
+
+    def received(self, data):
+        """Parse received bytes up to the end of one request; called by waitress."""
+        self._pace.move(len(data))
+        self._unparsed += data
+        self._parse_next()
+
     def write_soon(self, data):
-        """Send a part of a response; called by waitress."""
+        """Send a part of a response; called by waitress.
+
+        Closes the connection if it is lost or the caller does not receive in time.
+        """
+        if not self.connected:
+            raise waitress.channel.ClientDisconnected
         self.last_write_at = time.monotonic()
-        return super().write_soon(data)
+        view = memoryview(data)
+        try:
+            view = view[self.socket.send(view, socket.MSG_DONTWAIT) :]
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            logger.debug("connection lost", extra={"error": repr(error)})
+            self.handle_close()
+            return 0
+        if view:
+            self._send_slowly(view)
+        return len(data)
+
+    def _send_slowly(self, view):
+        """Send the rest of a part of a response, for which the caller is waited for."""
+        self._send_deadline = time.monotonic() + TRANSFER_TIMEOUT_MS / 1e3
+        self._pace.reset()
+        self._unread = unacknowledged_bytes(self.socket)
+        self._interruptible = True
+        while view and (sent := self.send(view)):
+            view = view[sent:]
+            self._note_progress(sent)
+        with self._idle_lock:
+            self._interruptible = False
+
+    def _note_progress(self, sent):
+        """Record what the caller has received since the last call."""
+        unread = unacknowledged_bytes(self.socket)
+        self._pace.move(max(0, self._unread + sent - unread))
+        self._unread = unread
 
     def send(self, data, do_close=True):
-        """Send some bytes; called by waitress until its buffers are empty.
+        """Send some bytes, waiting until the caller receives them.
 
         Closes the connection if it is lost or the caller does not receive in time.
         waitress leaves bytes that cannot be sent in its buffers for its own loop.
@@ -275,7 +412,9 @@
                 return self.socket.send(data, socket.MSG_DONTWAIT)
             except BlockingIOError:
                 remaining_ms = (self._send_deadline - time.monotonic()) * 1e3
-                if remaining_ms > 0 and self._wait(select.POLLOUT, remaining_ms):
+                if remaining_ms > 0:
+                    self._wait_for_caller(select.POLLOUT, remaining_ms)
+                    self._note_progress(0)
                     continue
             except OSError as error:
                 logger.debug("connection lost", extra={"error": repr(error)})
@@ -287,42 +426,121 @@
         self._send_deadline = time.monotonic() + TRANSFER_TIMEOUT_MS / 1e3
         return super()._flush_some(do_close=do_close)
 
+    def _parse_next(self):
+        """Parse the received bytes up to the end of one request."""
+        while self._unparsed and not self.requests:
+            if self.request is None:
+                self.request = self.parser_class(self.adj, memory=self.memory)
+            request = self.request
+            consumed = request.received(self._unparsed)
+            self._unparsed = self._unparsed[consumed:]
+            if (
+                request.expect_continue
+                and request.headers_finished
+                and not self.sent_continue
+            ):
+                self.send_continue()
+            if request.completed:
+                self._complete_request(request)
+
+    def _complete_request(self, request):
+        self.sent_continue = False
+        self.request = None
+        if request.empty:
+            request.close()
+            return
+        if request.error is None:
+            try:
+                self.memory.enter(Phase.RUNNING)
+            except MemoryRefused as error:
+                request.refuse(str(error))
+            else:
+                if self._unparsed:
+                    self.memory.force(self.memory.size + len(self._unparsed))
+        else:
+            # Refused, so that its body is not needed.
+            request.close()
+        self.used = True
+        self.requests.append(request)
+
     def _receive_request(self):
         self.last_write_at = None
-        with self._idle_lock:
-            self.idle_since = None if self.request else time.monotonic()
-        if self.request is None and self.server.draining:
+        if self.request is None and not self._receive_first_bytes():
             return False
-        self._apply_idle_timeout()
-        try:
-            # Blocks until bytes arrive or the kernel's receive timeout expires.
-            self.handle_read()
-            with self._idle_lock:
-                self.idle_since = None
-            if not self.requests:
+        if not self.requests and self.connected:
+            try:
                 self._receive_remainder()
-        except BlockingIOError:
+            except BlockingIOError:
+                return False
+        return self.connected
+
+    def _receive_first_bytes(self):
+        """Wait for a request; return whether it has begun."""
+        with self._idle_lock:
+            self.idle_since = time.monotonic()
+        if self.server.draining:
             return False
+        self._apply_idle_timeout()
+        # Blocks until bytes arrive or the kernel's receive timeout expires.
+        self.handle_read()
+        with self._idle_lock:
+            self.idle_since = None
         return self.connected
 
     def _receive_remainder(self):
-        deadline = time.monotonic() + self.server.limits.header_timeout_ms / 1e3
-        while not self.requests and self.connected:
-            remaining_ms = (deadline - time.monotonic()) * 1e3
-            if remaining_ms <= 0 or not self._wait(select.POLLIN, remaining_ms):
-                raise BlockingIOError("the request did not arrive in time")
+        """Receive the rest of a request.
+
+        The head must arrive within the time limit; a body may take longer as long as
+        its caller is not behind by more than that.
+        """
+        limit_ms = self.server.limits.header_timeout_ms
+        deadline = time.monotonic() + limit_ms / 1e3
+        self._pace.reset()
+        self._interruptible = True
+        try:
+            while not self.requests and self.connected:
+                remaining_ms = (deadline - time.monotonic()) * 1e3
+                if self.request is not None and self.request.headers_finished:
+                    behind_ms = self._pace.behind_ms(self.server.clock.now())
+                    remaining_ms = limit_ms - behind_ms
+                if remaining_ms <= 0:
+                    raise BlockingIOError("the request did not arrive in time")
+                self._receive_some(remaining_ms)
+        finally:
+            with self._idle_lock:
+                self._interruptible = False
+        if self._interrupted:
+            raise BlockingIOError("the connection was closed for another one")
+
+    def _receive_some(self, timeout_ms):
+        """Receive bytes of a request, unless it gave way while they were awaited."""
+        if self._wait_for_caller(select.POLLIN, timeout_ms):
             self.handle_read()
+        elif self.memory.gave_way:
+            request = self.request
+            request.refuse("the request gave way to others")
+            self._complete_request(request)
 
     def _discard_input(self):
         """Receive for a short time what the caller sends after a refusal."""
         self.socket.shutdown(socket.SHUT_WR)
         deadline = time.monotonic() + LINGER_MS / 1e3
+        self._pace.reset()
+        self._interruptible = True
         while (remaining_ms := (deadline - time.monotonic()) * 1e3) > 0:
-            if not self._wait(select.POLLIN, remaining_ms):
+            if not self._wait(select.POLLIN, min(remaining_ms, LINGER_IDLE_MS)):
                 return
             if not self.socket.recv(RECEIVE_BYTES):
                 return
 
+    def _wait_for_caller(self, events, timeout_ms):
+        """Wait for a short time, which counts as time that the caller takes."""
+        timeout_ms = min(timeout_ms, WAIT_SLICE_MS)
+        self._pace.begin_wait(self.server.clock.now(), timeout_ms)
+        ready = self._wait(events, timeout_ms)
+        self._pace.end_wait(self.server.clock.now())
+        return ready
+
     def _wait(self, events, timeout_ms):
         poller = select.poll()
         poller.register(self.socket, events)
@@ -333,6 +551,7 @@
     """Accepts connections and runs each as a task of an executor.
 
     :param limit: maximum number of open connections
+    :param essential: whether connections are accepted although there is no memory
     """
 
     channel_class = ConnectionChannel
@@ -343,16 +562,24 @@
     listener_closing = False
     # Number of requests that found no memory for their bodies.
     bodies_refused = 0
+    # Number of connections that were closed for another one as the slowest.
+    connections_interrupted = 0
     limits = CallerLimits()
 
-    def __init__(self, application, *, limit, adj):
+    def __init__(self, application, *, limit, adj, essential=False):
         self._limit = limit
+        self._essential = essential
         self._executor = concurrent.futures.ThreadPoolExecutor(
             max_workers=limit, thread_name_prefix="connection"
         )
+        self.clock = SystemClock()
         super().__init__(
             application, dispatcher=self._executor, adj=adj, sockinfo=adj.listen[0]
         )
+        # Inherited by the connections that are accepted.
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         # Reverts the non-blocking mode that waitress sets for its own loop.
         self.socket.setblocking(True)
 
@@ -428,8 +655,12 @@
                 connection.setblocking(False)
                 connection.send(CONNECTION_LIMIT_RESPONSE)
             return
-        self.set_socket_options(connection)
-        channel = self.channel_class(self, connection, address, self.adj, map={})
+        try:
+            self.set_socket_options(connection)
+            channel = self.channel_class(self, connection, address, self.adj, map={})
+        except BaseException:
+            self.adj.memory_account.release_connection()
+            raise
         try:
             self._executor.submit(channel.serve)
         except RuntimeError:
@@ -437,7 +668,7 @@
             raise
 
     def _ensure_capacity(self):
-        """Close an idle connection if the connection limit is reached.
+        """Count a connection, closing another one if there is no place for it.
 
         Waits for connections whose response has just been written: a caller can connect
         again before the thread of its previous connection marks that one as idle.
@@ -446,26 +677,53 @@
         """
         started = time.monotonic()
         while len(self.active_channels) >= self._limit:
-            if self.close_longest_idle():
-                return True
+            if self.close_longest_idle() or self.close_slowest():
+                return self._count_connection()
             cutoff = time.monotonic() - IDLE_WAIT_MS / 1e3
             write_times = (c.last_write_at for c in list(self.active_channels.values()))
             if started < cutoff or not any(at and at > cutoff for at in write_times):
                 return False
             time.sleep(IDLE_POLL_MS / 1e3)
-        return True
+        return self._count_connection()
+
+    def _count_connection(self):
+        """Draw the memory of a connection; return whether there is enough."""
+        account = self.adj.memory_account
+        if account.take_connection(force=self._essential):
+            return True
+        if self.close_longest_idle() or self.close_slowest():
+            return account.take_connection(force=True)
+        return False
 
     def close_longest_idle(self):
         """Close the connection that has been idle for the longest time.
 
+        Connections that have sent no request for some time are closed first.
+
         :returns: whether there was an idle connection
         """
-        idle = [
-            (channel.idle_since, number, channel)
+        recently = time.monotonic() - BEHIND_MS / 1e3
+        idle = []
+        for number, channel in list(self.active_channels.items()):
+            since = channel.idle_since
+            if since is not None:
+                silent = not channel.used and since < recently
+                idle.append((not silent, since, number, channel))
+        return any(channel.close_if_idle() for *_, channel in sorted(idle))
+
+    def close_slowest(self):
+        """Close the connection whose caller is furthest behind a fair pace.
+
+        :returns: whether there was one
+        """
+        behind = [
+            (channel.behind_ms, number, channel)
             for number, channel in list(self.active_channels.items())
         ]
-        idle = sorted(item for item in idle if item[0] is not None)
-        return any(channel.close_if_idle() for _, _, channel in idle)
+        behind = sorted((item for item in behind if item[0] > BEHIND_MS), reverse=True)
+        closed = any(channel.interrupt() for _, _, channel in behind)
+        self.connections_interrupted += closed
+        return closed
 
     def drain(self):
         """Stop accepting, close idle connections and others after their response."""
@@ -489,10 +747,12 @@
     :param host: IP address to listen on
     :param port: port to listen on, 0 for any free port
     :param workers: maximum number of connections, each with one thread
-    :param body_bytes: limit of the sum of the bodies of all requests in progress
+    :param account: :class:`monsoonline.core.memory_account.MemoryAccount`, one with
+        the default limit when omitted
+    :param essential: whether connections are accepted although there is no memory
     """
 
-    def __init__(self, *, handler, host, port, workers, body_bytes=DEFAULT_BODY_BYTES):
+    def __init__(self, *, handler, host, port, workers, account=None, essential=False):
         adjustments = waitress.server.Adjustments(
             host=host,
             port=port,
@@ -501,15 +761,18 @@
             max_request_body_size=CallerLimits().max_body_bytes,
             max_request_header_size=CallerLimits().max_header_bytes,
             recv_bytes=RECEIVE_BYTES,
-            outbuf_high_watermark=MAX_OUTPUT_BYTES,
             clear_untrusted_proxy_headers=False,
             channel_request_lookahead=1,
             # Connection resets and idle timeouts are not errors of this process.
             log_socket_errors=False,
             inbuf_overflow=MAX_BUFFERED_BODY_BYTES,
         )
-        adjustments.body_budget = ReceiveBudget(max_bytes=body_bytes)
-        self._server = ConnectionServer(handler, limit=workers, adj=adjustments)
+        adjustments.memory_account = account or MemoryAccount(
+            max_bytes=DEFAULT_MESSAGE_BYTES, clock=SystemClock()
+        )
+        self._server = ConnectionServer(
+            handler, limit=workers, adj=adjustments, essential=essential
+        )
         self._thread = None
 
     @property
@@ -522,16 +785,16 @@
         """Number of open caller connections."""
         return len(self._server.active_channels)
 
-    @property
-    def body_bytes(self):
-        """Bytes of large bodies of all requests in progress."""
-        return self._server.adj.body_budget.taken
-
     @property
     def bodies_refused(self):
         """Number of requests that found no memory for their bodies."""
         return self._server.bodies_refused
 
+    @property
+    def connections_interrupted(self):
+        """Number of connections that were closed for another one as the slowest."""
+        return self._server.connections_interrupted
+
     def start(self):
         """Start accepting connections in a separate thread."""
         self._thread = threading.Thread(
--- a/src/monsoonline/adapters/receive_budget.py
+++ b/src/monsoonline/adapters/receive_budget.py
@@ -50,19 +50,6 @@
                 )
             self._taken += size
 
-    def take_whole(self, size):
-        """Count a message of known size, of any size if no other one is counted.
-
-        :raises ReceiveBudgetExceeded: when the limit is exceeded
-        """
-        with self._lock:
-            if self._taken and self._taken + size > self._max_bytes:
-                raise ReceiveBudgetExceeded(
-                    f"{size} bytes more than the {self._taken} bytes in progress would "
-                    f"exceed {self._max_bytes} bytes"
-                )
-            self._taken += size
-
     def give_back(self, size):
         """Stop counting bytes of a message that is complete or was given up."""
         with self._lock:
@@ -92,15 +79,6 @@
             self._budget.take(size)
             self._taken += size
 
-    def add_whole(self, size):
-        """Count all bytes of a message before they are received.
-
-        :raises ReceiveBudgetExceeded: when all messages together exceed the limit
-        """
-        if size > UNCOUNTED_BYTES:
-            self._budget.take_whole(size)
-            self._taken += size
-
     def reset(self):
         """End the message."""
         if self._taken:
--- a/src/monsoonline/adapters/response_assembly.py
+++ b/src/monsoonline/adapters/response_assembly.py
@@ -3,6 +3,7 @@
 import http.client
 import io
 import re
+import threading
 
 from monsoonline.adapters.http_response import (
     CHUNK_SIZE,
@@ -16,7 +17,6 @@
     StrictResponse,
     frame_response,
     parse_status_line,
-    read_chunked_body,
     too_large,
 )
 
@@ -25,6 +25,7 @@
 # Largest ratio of a chunked body to its data.
 CHUNKED_OVERHEAD = 2
 
+COPYING = threading.Lock()
 INTERIM_STATUS = re.compile(rb"HTTP/1\.[01] 1")
 
 
@@ -174,12 +175,12 @@
 class ResponseAssembler:
     """Collects bytes of one connection and returns the complete responses in them.
 
-    :param received: :class:`monsoonline.adapters.receive_budget.ReceivedBytes` of the
+    :param memory: :class:`monsoonline.core.memory_account.MemoryHolder` of the
         connection
     """
 
-    def __init__(self, *, received):
-        self._received = received
+    def __init__(self, *, memory):
+        self._memory = memory
         self._content = bytearray()
         self._ended = False
         self._begin_response()
@@ -190,13 +191,9 @@
         return not self._content
 
     def feed(self, content):
-        """Add bytes that have arrived.
-
-        :raises monsoonline.adapters.receive_budget.ReceiveBudgetExceeded: when the
-            responses of all connections together are too large
-        """
-        self._received.add(len(content))
+        """Add bytes that have arrived."""
         self._content += content
+        self._memory.force(len(self._content))
 
     def feed_end(self):
         """Record that the peer has closed the connection."""
@@ -216,21 +213,26 @@
             if self._ended:
                 raise http.client.IncompleteRead(bytes(self._content[:80]))
             return None
-        content = bytes(self._content[:end])
-        del self._content[:end]
-        parser, head_end = self._parser, self._head_end
+        parser = self._parser
+        # One copy at a time, since a copy is not counted.
+        with COPYING:
+            body = self._take_body(end)
         self._begin_response()
-        if not parser.chunked:
-            return frame_response(parser, content[head_end:], method=method)
-        parser = parse_head(content, method=method)
-        body = read_chunked_body(parser, max_bytes)
-        if not parser.isclosed():
-            raise http.client.IncompleteRead(body)
         return frame_response(parser, body, method=method)
 
+    def _take_body(self, end):
+        """Remove a response from the received bytes and return its body."""
+        body_end = end
+        if self._parser.chunked:
+            body_end = join_chunks(self._content, self._head_end)
+        with memoryview(self._content) as view:
+            body = bytes(view[self._head_end : body_end])
+        del self._content[:end]
+        return body
+
     def _begin_response(self):
-        self._received.reset()
-        self._received.add(len(self._content))
+        self._memory.release()
+        self._memory.force(len(self._content))
         self._head_scanner = HeadScanner()
         self._head_end = None
         self._parser = None
@@ -262,6 +264,44 @@
         return len(self._content) if self._ended else None
 
 
+def join_chunks(content, start):
+    """Move the data of a complete chunked body together, in place.
+
+    :param content: bytearray with the body
+    :param start: offset of the body
+    :returns: offset of the end of the data
+    :raises FramingError: when the body is not valid
+    """
+    position = data_end = start
+    while True:
+        line_end = content.index(b"\n", position) + 1
+        size = int(CHUNK_SIZE.fullmatch(content[position:line_end])[1], 16)
+        position = line_end
+        if not size:
+            check_trailers(content, position)
+            return data_end
+        with memoryview(content) as view:
+            view[data_end : data_end + size] = view[position : position + size]
+        data_end += size
+        position += size
+        if content[position : position + 2] != b"\r\n":
+            raise FramingError("a chunk does not end with CRLF")
+        position += 2
+
+
+def check_trailers(content, position):
+    """Check the trailers of a complete chunked body.
+
+    :raises FramingError: when a line is not valid
+    """
+    while content[position : position + 2] != b"\r\n":
+        line_end = content.index(b"\n", position) + 1
+        line = bytes(content[position:line_end])
+        if HEADER_LINE.fullmatch(line) is None:
+            raise FramingError(f"invalid header line {line[:80]!r}")
+        position = line_end
+
+
 def parse_head(content, *, method):
     """Return the parser of a response after its head.
 
--- a/src/monsoonline/adapters/upstream_sessions.py
+++ b/src/monsoonline/adapters/upstream_sessions.py
@@ -5,19 +5,17 @@
 """
 
 import collections
-import fcntl
 import http.client
 import itertools
 import random
 import select
 import socket
-import struct
-import termios
 import threading
 
 from monsoonline.adapters.http_response import MAX_RESPONSE_BYTES
-from monsoonline.adapters.receive_budget import ReceiveBudget
 from monsoonline.adapters.response_assembly import ResponseAssembler
+from monsoonline.adapters.socket_queue import unacknowledged_bytes
+from monsoonline.core.memory_account import MemoryAccount, Phase
 
 __all__ = ["Probe", "SessionFailed", "SessionPool", "UpstreamSession"]
 
@@ -36,12 +34,15 @@
 # Bytes to receive before other connections are served again.
 MAX_RECEIVED_AT_ONCE_BYTES = 1 << 20
 MAX_PROBE_RESPONSE_BYTES = 64 << 10
+# Bytes of probe responses to receive before they are checked.
+MAX_PROBE_RECEIVED_BYTES = 128 << 10
 # Longest wait for the rest of a response that has begun to arrive before a probe.
 DRAIN_TIMEOUT_MS = 5.0
 # A larger body is sent by itself, which saves a copy.
 MAX_JOINED_BODY_BYTES = 64 << 10
+# Limit of the responses in progress, unless the pool is given an account.
+DEFAULT_BYTES = 32 << 20
 BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
-INT = struct.Struct("i")
 READ_EVENTS = select.POLLIN | select.POLLRDHUP
 
 
@@ -107,14 +108,14 @@
     :param address: ``host:port`` with an IP address
     :param clock: source of time
     :param names: :class:`monsoonline.core.header_names.HeaderNames`
-    :param budget: :class:`monsoonline.adapters.receive_budget.ReceiveBudget`
+    :param account: :class:`monsoonline.core.memory_account.MemoryAccount`
     """
 
     # Random, since upstreams get probes of many processes.
     _probe_numbers = itertools.count(random.getrandbits(FIRST_PROBE_NUMBER_BITS))
 
-    def __init__(self, *, address, clock, names, budget):
-        self._received = budget.open()
+    def __init__(self, *, address, clock, names, account):
+        self._memory = account.open(phase=Phase.UPSTREAM)
         self._address = address
         self._clock = clock
         self._names = names
@@ -123,6 +124,7 @@
         # Time of the first byte of an incomplete response, None without one.
         self._receiving_since = None
         self._stray_responses = 0
+        self._paused = False
         # Whether sending failed, which takes the error of a reset from the socket.
         self._send_failed = False
         # Whether a reset ended the connection, which is no end of a response.
@@ -160,6 +162,11 @@
         """Time in ms at which an incomplete response began, ``None`` without one."""
         return self._receiving_since
 
+    @property
+    def paused(self):
+        """Whether bytes have arrived that are not read for want of memory."""
+        return self._paused
+
     @property
     def connecting(self):
         """Whether connecting has started but is not complete."""
@@ -189,7 +196,7 @@
         error = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
             raise SessionFailed(f"{self._address}: connect error {error}", sent=False)
-        self._assembler = ResponseAssembler(received=self._received)
+        self._assembler = ResponseAssembler(memory=self._memory)
 
     def send_probe(self, probe, instance):
         """Send a load probe.
@@ -253,9 +260,11 @@
         :returns: the response, ``None`` while it is incomplete
         :raises SessionFailed: when the response is cut off or invalid
         """
-        self._receive()
+        self._receive(limited=True)
         while (response := self._take(request.method)) is not None:
             if response.header(self._names.request_id) == request_id:
+                if request.memory is not None:
+                    request.memory.force(request.memory.size + len(response.body))
                 return response
             self._close_after_use = True
             self._count_stray_response()
@@ -264,7 +273,7 @@
 
     def close(self):
         """Close the connection; the upstream drops any work in progress for it."""
-        self._received.reset()
+        self._memory.release()
         if self._socket is not None:
             self._socket.close()
             self._socket = None
@@ -291,17 +300,23 @@
             self._send_failed = True
             raise self._failed(error) from error
 
-    def _receive(self):
-        """Receive the bytes that have arrived, without waiting.
+    def _receive(self, *, limited=False):
+        """Receive the bytes that have arrived, without waiting for others.
 
+        :param limited: whether bytes for which there is no memory stay with the kernel,
+            so that the upstream sends no more
         :raises SessionFailed: when the connection is lost
         """
         if self._socket is None:
             raise SessionFailed(f"{self._address}: the session is closed", sent=True)
         received = 0
+        max_bytes = MAX_RECEIVED_AT_ONCE_BYTES if limited else MAX_PROBE_RECEIVED_BYTES
         try:
-            while received < MAX_RECEIVED_AT_ONCE_BYTES:
-                content = self._socket.recv(RECEIVE_BYTES)
+            while received < max_bytes:
+                room = self._find_room() if limited else RECEIVE_BYTES
+                if not room:
+                    return
+                content = self._socket.recv(room)
                 if not content:
                     if self._is_reset():
                         self._lost = True
@@ -312,13 +327,19 @@
                 if self._receiving_since is None:
                     self._receiving_since = self._clock.now()
                 received += len(content)
-                if len(content) < RECEIVE_BYTES:
+                if len(content) < room:
                     return
         except BlockingIOError:
             return
         except (OSError, http.client.HTTPException) as error:
             raise self._failed(error) from error
 
+    def _find_room(self):
+        """Return how many bytes may be received; the session pauses at 0."""
+        room = self._memory.room_for(RECEIVE_BYTES)
+        self._paused = not room
+        return room
+
     def _is_reset(self):
         """Return whether the connection, whose end was read, was reset.
 
@@ -420,7 +441,7 @@
 
     def _failed(self, error):
         self._close_after_use = True
-        self._received.reset()
+        self._memory.release()
         return SessionFailed(
             f"{self._address}: {error!r}",
             sent=True,
@@ -428,29 +449,17 @@
         )
 
 
-def unacknowledged_bytes(connection):
-    """Return the number of bytes sent that the peer has not acknowledged.
-
-    :returns: 0 where the system does not tell
-    """
-    try:
-        packed = fcntl.ioctl(connection, termios.TIOCOUTQ, bytes(INT.size))
-    except OSError:
-        return 0
-    return INT.unpack(packed)[0]
-
-
 class SessionPool:
     """Pool of idle sessions by upstream address.
 
     :param clock: source of time
     :param names: :class:`monsoonline.core.header_names.HeaderNames`
-    :param budget: :class:`monsoonline.adapters.receive_budget.ReceiveBudget` of all
-        sessions, one with the default limit when omitted
+    :param account: :class:`monsoonline.core.memory_account.MemoryAccount`, one with
+        the default limit when omitted
     """
 
-    def __init__(self, *, clock, names, budget=None):
-        self._budget = budget or ReceiveBudget()
+    def __init__(self, *, clock, names, account=None):
+        self._account = account or MemoryAccount(max_bytes=DEFAULT_BYTES, clock=clock)
         self._clock = clock
         self._names = names
         self._idle = collections.defaultdict(collections.deque)
@@ -478,7 +487,7 @@
             address=address,
             clock=self._clock,
             names=self._names,
-            budget=self._budget,
+            account=self._account,
         )
 
     def check_in(self, session):
--- a/src/monsoonline/bench/virtual_sessions.py
+++ b/src/monsoonline/bench/virtual_sessions.py
@@ -83,6 +83,7 @@
     expired = False
     # Responses arrive whole.
     receiving_since = None
+    paused = False
 
     def __init__(self, *, address, network):
         self._address = address
--- a/src/monsoonline/entry/fleet_service.py
+++ b/src/monsoonline/entry/fleet_service.py
@@ -17,10 +17,12 @@
 from monsoonline.core.crashes import CrashTracker
 from monsoonline.core.fleet import Fleet, FleetMember
 from monsoonline.core.header_names import HeaderNames
+from monsoonline.core.memory_account import MemoryAccount, Phase
 from monsoonline.core.read_schedule import ReadSchedule
 from monsoonline.entry.crash_recorder import CrashRecorder
 from monsoonline.entry.fleet_link import FleetLink
 from monsoonline.entry.lifecycle import EntryState, Lifecycle, StopTimes
+from monsoonline.entry.memory_watch import MemoryWatch
 from monsoonline.entry.placed_relay import PlacedRelay
 from monsoonline.entry.shared_state import SharedState
 from monsoonline.entry.start_gate import StartGate
@@ -117,12 +119,19 @@
         self._crashes = CrashTracker(
             clock=self._clock, owner=settings.name, on_change=self._share_crashes
         )
-        self._sessions = SessionPool(clock=self._clock, names=dialect.names)
+        self._account = MemoryAccount(
+            max_bytes=settings.message_bytes, clock=self._clock
+        )
+        self._sessions = SessionPool(
+            clock=self._clock, names=dialect.names, account=self._account
+        )
         self._callers = self._make_server(
             self._handle_caller,
             listeners.callers,
             settings.connections,
-            body_bytes=settings.body_bytes,
+        )
+        self._memory_watch = MemoryWatch(
+            account=self._account, server=self._callers, clock=self._clock
         )
         self._relay = PlacedRelay(
             clock=self._clock,
@@ -279,10 +288,15 @@
         chosen = local if len(local) >= MIN_LOCAL_ENTRIES else members
         return [m.callers_address for m in chosen if not m.leaving][:MAX_LISTED_ENTRIES]
 
-    def _make_server(self, handler, address, workers, **options):
+    def _make_server(self, handler, address, workers, *, essential=False):
         host, _, port = address.rpartition(":")
         return HttpServer(
-            handler=handler, host=host, port=int(port), workers=workers, **options
+            handler=handler,
+            host=host,
+            port=int(port),
+            workers=workers,
+            account=self._account,
+            essential=essential,
         )
 
     def _make_auxiliary_servers(self):
@@ -295,7 +309,9 @@
         if listeners.discovery is not None:
             handlers[listeners.discovery] = self._handle_status_request
         return [
-            self._make_server(handler, address, AUXILIARY_SERVER_WORKERS)
+            self._make_server(
+                handler, address, AUXILIARY_SERVER_WORKERS, essential=True
+            )
             for address, handler in handlers.items()
         ]
 
@@ -359,6 +375,7 @@
     def _refresh_limits(self):
         while not self._stopping.wait(LIMIT_REFRESH_INTERVAL_MS / 1e3):
             self._relay.refresh_limits()
+            self._memory_watch.check()
 
     def _count_failure(self):
         self._metrics.count("task_failures_total")
@@ -398,12 +415,32 @@
         self._metrics.gauge("caller_connections", self._callers.open_connections)
         self._metrics.gauge("requests_in_flight", self._callers.requests_in_flight)
         self._metrics.gauge("upstream_attempts_open", self._relay.open_attempts)
-        self._metrics.gauge("request_body_bytes", self._callers.body_bytes)
-        self._metrics.gauge("bodies_refused", self._callers.bodies_refused)
+        self._measure_memory()
         read_age_ms = self._read_age_ms()
         if read_age_ms is not None:
             self._metrics.gauge("store_read_age_ms", round(read_age_ms))
 
+    def _measure_memory(self):
+        """Set the gauges of the memory account; refusals and closings are sums."""
+        account = self._account
+        requests = (Phase.RECEIVING, Phase.RUNNING)
+        self._metrics.gauge(
+            "request_body_bytes", sum(account.held_bytes(phase) for phase in requests)
+        )
+        self._metrics.gauge("bodies_refused", self._callers.bodies_refused)
+        self._metrics.gauge("message_bytes", account.message_bytes)
+        self._metrics.gauge("message_bytes_limit", account.max_bytes)
+        for phase in Phase:
+            self._metrics.gauge(
+                "held_bytes", account.held_bytes(phase), phase=phase.value
+            )
+            self._metrics.gauge(
+                "messages_given_way", account.gave_way(phase), phase=phase.value
+            )
+        self._metrics.gauge(
+            "connections_interrupted", self._callers.connections_interrupted
+        )
+
     def _handle_status_request(self, request):
         """Return the response to a readiness, discovery or metrics request."""
         if request.path == self._dialect.readiness_path:
--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -43,6 +43,8 @@
 MIN_READ_MS = 50.0
 # Time for a response that has begun to arrive to be complete before a hedge.
 ARRIVAL_MS = 100.0
+# Interval at which a response that waits for memory is tried again.
+MEMORY_POLL_MS = 50.0
 # Status that callers get, and the decision log records, after an unexpected error.
 UNEXPECTED_STATUS = 502
 ATTEMPT_KINDS = {
@@ -388,12 +390,9 @@
         if task.hedge_timer is not None:
             wake_at = min(wake_at, task.hedge_timer.check_at)
         poller = self._poller()
-        by_descriptor = {}
-        for attempt in task.open_attempts:
-            if attempt.session.reusable or attempt.session.connected:
-                descriptor = attempt.session.fileno()
-                by_descriptor[descriptor] = attempt
-                poller.register(descriptor, select.POLLIN | select.POLLRDHUP)
+        by_descriptor, paused = self._register_attempts(task, poller)
+        if paused is not None:
+            wake_at = min(wake_at, now + MEMORY_POLL_MS)
         caller = task.request.cancellation.caller if task.request.cancellation else None
         watch_caller = caller is not None and not task.caller_left
         if watch_caller:
@@ -406,8 +405,26 @@
             return Event.CALLER_GONE, None
         if self._clock.now() >= deadline:
             return Event.DEADLINE, None
+        if paused is not None:
+            return Event.READABLE, paused
         return Event.HEDGE, None
 
+    @staticmethod
+    def _register_attempts(task, poller):
+        """Register the sessions to wait for.
+
+        :returns: the attempts by descriptor, and one that waits for memory, if any
+        """
+        by_descriptor, paused = {}, None
+        for attempt in task.open_attempts:
+            if attempt.session.paused:
+                paused = attempt
+            elif attempt.session.reusable or attempt.session.connected:
+                descriptor = attempt.session.fileno()
+                by_descriptor[descriptor] = attempt
+                poller.register(descriptor, select.POLLIN | select.POLLRDHUP)
+        return by_descriptor, paused
+
     @staticmethod
     def _read_deadline(task):
         """Return the time until which to wait for responses."""
--- a/src/monsoonline/fleet_settings.py
+++ b/src/monsoonline/fleet_settings.py
@@ -22,8 +22,13 @@
 # Approximate memory of the thread that serves a connection.
 MEMORY_PER_CONNECTION_MB = 0.1
 CONNECTION_MEMORY_SHARE = 0.4
-# Share of the memory for the bodies of all requests in progress.
-BODY_MEMORY_SHARE = 0.3
+# Memory of an idle entry process.
+IDLE_PROCESS_MB = 70.0
+# Share of the memory that the process may use in full; the rest covers copies while
+# messages are converted, and what the allocator keeps.
+USABLE_MEMORY_SHARE = 0.9
+# Memory for messages and connections on a machine that is too small for an entry.
+MIN_MESSAGE_MEMORY_MB = 8.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -55,7 +60,8 @@
     :param discovery_lifetime_ms: time for which callers may cache a discovery response
     :param stop_limit_ms: time after which a stopping process is killed
     :param connections: maximum number of concurrent connections of callers
-    :param body_bytes: limit of the sum of the bodies of all requests in progress
+    :param message_bytes: limit of the memory of all connections and of the messages
+        that they hold
     :param log_level: lowest level of log lines that are written
     """
 
@@ -68,7 +74,7 @@
     discovery_lifetime_ms: float
     stop_limit_ms: float
     connections: int
-    body_bytes: int
+    message_bytes: int
     log_level: str
 
 
@@ -127,13 +133,28 @@
             memory_mb=memory_mb,
             descriptors=machine.integer("descriptors", minimum=1),
         ),
-        body_bytes=int(BODY_MEMORY_SHARE * memory_mb * 1e6),
+        message_bytes=int(
+            1e6
+            * machine.number(
+                "message_memory_mb",
+                minimum=1,
+                default=message_memory_mb(memory_mb=memory_mb),
+            )
+        ),
         log_level=fields.choice("log_level", LOG_LEVELS, default="INFO"),
     )
     fields.finish()
     return settings
 
 
+def message_memory_mb(*, memory_mb):
+    """Return the memory in MB for connections and the messages that they hold.
+
+    :param memory_mb: memory of the machine in MB
+    """
+    return max(MIN_MESSAGE_MEMORY_MB, USABLE_MEMORY_SHARE * memory_mb - IDLE_PROCESS_MB)
+
+
 def connection_limit(*, memory_mb, descriptors):
     """Return the maximum number of concurrent callers' connections of an entry.
 
--- a/src/monsoonline/types.py
+++ b/src/monsoonline/types.py
@@ -92,6 +92,8 @@
     :param body: complete body
     :param cancellation: signal that the caller no longer waits for the response,
         ``None`` if the request cannot be cancelled
+    :param memory: :class:`monsoonline.core.memory_account.MemoryHolder` of the request
+        and of its responses, ``None`` if they are not counted
     """
 
     method: str
@@ -100,6 +102,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     cancellation: object = dataclasses.field(default=None, compare=False, repr=False)
+    memory: object = dataclasses.field(default=None, compare=False, repr=False)
 
     @property
     def path(self):
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -7,6 +7,7 @@
 import struct
 import threading
 import time
+import tracemalloc
 import unittest
 import unittest.mock
 from unittest import mock
@@ -15,7 +16,14 @@
 from monsoonline.adapters.http_server import (
     ConnectionChannel,
     HttpServer,
-    encode_response,
+    encode_head,
+)
+from monsoonline.clock import SystemClock
+from monsoonline.core.memory_account import (
+    GRACE_MS,
+    UNCOUNTED_BYTES,
+    MemoryAccount,
+    Phase,
 )
 from monsoonline.core.model import CallerLimits
 from monsoonline.types import Answer
@@ -345,8 +353,8 @@
         self.assertIn(b"200 OK", self.send(content))
 
 
-class TestBodyBudget(ServerCase):
-    """The bodies of all requests together stay within a limit."""
+class UploadCase(ServerCase):
+    """A server with an account of 1 MiB, and uploads of more than half of it."""
 
     BODY = b"x" * 600_000
     HEAD = b"POST / HTTP/1.1\r\nHost: a\r\n"
@@ -355,12 +363,13 @@
         super().setUp()
         self.entered, self.leave = threading.Semaphore(0), threading.Event()
         self.addCleanup(self.leave.set)
+        self.account = MemoryAccount(max_bytes=1 << 20, clock=SystemClock())
         self.server = HttpServer(
             handler=self.hold,
             host="127.0.0.1",
             port=0,
             workers=self.workers,
-            body_bytes=1 << 20,
+            account=self.account,
         )
         self.server.start()
         self.addCleanup(self.server.close)
@@ -387,6 +396,16 @@
         self.assertIn(b"Monsoonline-Outcome: not-run", received)
         self.assertIn(b"Retry-After: 1", received)
 
+    def assert_held(self, size):
+        """Check that requests hold a body of this size, and no more than their head."""
+        held = self.account.message_bytes + UNCOUNTED_BYTES
+        self.assertGreaterEqual(held, size)
+        self.assertLess(held, size + 2_000)
+
+
+class TestBodyBudget(UploadCase):
+    """The bodies of all requests together stay within a limit."""
+
     def test_bodies_together_exceed_the_memory(self):
         """Guards against uploads within their limit that end a process together."""
         for chunked in (False, True):
@@ -396,7 +415,7 @@
                 self.assertTrue(self.entered.acquire(timeout=TIMEOUT_SECONDS))
                 self.assert_refused(self.upload(chunked=chunked))
                 self.assertEqual(self.server.bodies_refused, 1 + chunked)
-                self.assertEqual(self.server.body_bytes, len(self.BODY))
+                self.assert_held(len(self.BODY))
                 self.leave.set()
                 self.assertIn(b"200 OK", first.recv(4096))
                 # The memory of the first one is available again.
@@ -416,8 +435,8 @@
     def test_body_larger_than_the_budget_is_served_alone(self):
         """Guards against a request that is refused for good."""
         self.leave.set()
-        with mock.patch.object(TestBodyBudget, "BODY", b"x" * 1_048_000):
-            self.server._server.adj.body_budget._max_bytes = 1 << 19
+        with mock.patch.object(UploadCase, "BODY", b"x" * 1_048_000):
+            self.account._max_bytes = self.account._max_large_bytes = 1 << 19
             self.assertIn(b"200 OK", self.upload().recv(4096))
 
     def test_memory_of_an_upload_that_was_broken_off_is_available_again(self):
@@ -432,6 +451,122 @@
         self.assertIn(b"200 OK", self.upload().recv(4096))
 
 
+class TestGivingWay(UploadCase):
+    """Callers that have moved least for their bytes give way."""
+
+    LARGE_BODY = b"x" * 900_000
+
+    def hold(self, request):
+        self.requests.append(request)
+        body = self.LARGE_BODY if request.method == "GET" else b"done"
+        return Answer(status=200, body=body)
+
+    def wait_behind(self):
+        """Wait until callers that have stopped are behind."""
+        time.sleep(1.2 * GRACE_MS / 1e3)
+
+    def test_upload_that_stops_gives_way(self):
+        """Guards against clients that hold the memory just short of their end."""
+        stopped = self.connect()
+        length = b"Content-Length: %d\r\n\r\n" % len(self.BODY)
+        stopped.sendall(self.HEAD + length + self.BODY[:-1])
+        self.wait_behind()
+        self.assertIn(b"200 OK", self.upload().recv(4096))
+        self.assert_refused(stopped)
+        self.assertEqual(len(self.requests), 1)
+
+    def test_completed_request_does_not_run_after_it_gave_way(self):
+        """Guards against a request that runs with a body that was dropped."""
+        stopped = self.connect()
+        length = b"Content-Length: %d\r\n\r\n" % len(self.BODY)
+        stopped.sendall(self.HEAD + length + self.BODY[:-1])
+        self.wait_behind()
+        upload = self.upload()
+        while not self.account.gave_way(Phase.RECEIVING):
+            time.sleep(0.001)
+        stopped.sendall(self.BODY[-1:])
+        self.assert_refused(stopped)
+        self.assertIn(b"200 OK", upload.recv(4096))
+        self.assertEqual([len(r.body) for r in self.requests], [len(self.BODY)])
+
+    def test_slow_reader_gives_way(self):
+        """Guards against responses that are held for callers that do not read."""
+        reader = socket.socket()
+        self.addCleanup(reader.close)
+        reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        host, _, port = self.server.address.partition(":")
+        reader.connect((host, int(port)))
+        with self.small_send_buffers():
+            reader.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            self.wait_behind()
+        self.assertIn(b"200 OK", self.upload().recv(4096))
+        self.assertLess(len(self.read_all(reader)), len(self.LARGE_BODY))
+
+    @contextlib.contextmanager
+    def small_send_buffers(self):
+        """Let the kernel take little of the responses."""
+        time.sleep(0.1)
+        for channel in self.server._server.active_channels.values():
+            channel.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        yield
+
+    def test_response_is_sent_without_copies(self):
+        """Guards against responses that are held several times."""
+        reader = self.connect()
+        time.sleep(0.1)
+        with self.small_send_buffers():
+            tracemalloc.start()
+            self.addCleanup(tracemalloc.stop)
+            reader.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            time.sleep(0.3)
+            held, _ = tracemalloc.get_traced_memory()
+        self.assertLess(held, len(self.LARGE_BODY) // 2)
+
+
+class TestEssentialServer(UploadCase):
+    """Health checks and other entries are served without memory for messages."""
+
+    def test_connection_without_memory(self):
+        """Guards against an entry that counts as down while its callers use it up."""
+        for essential, status in ((False, b"503"), (True, b"200")):
+            with self.subTest(essential=essential):
+                account = MemoryAccount(max_bytes=1, clock=SystemClock())
+                self.server = HttpServer(
+                    handler=self.handle,
+                    host="127.0.0.1",
+                    port=0,
+                    workers=1,
+                    account=account,
+                    essential=essential,
+                )
+                self.server.start()
+                self.addCleanup(self.server.close)
+                received = self.send(
+                    b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+                )
+                self.assertIn(status, received[:20])
+
+
+class TestLookahead(ServerCase):
+    """Pipelined requests are parsed one at a time."""
+
+    def test_pipelined_requests_are_parsed_together(self):
+        """Guards against small requests whose parsed forms need much memory."""
+        leave, entered = threading.Event(), threading.Event()
+        self.addCleanup(leave.set)
+
+        def hold(request):
+            entered.set()
+            leave.wait(TIMEOUT_SECONDS)
+            return Answer(status=200)
+
+        self.server._server.application = hold
+        self.connect().sendall(1_000 * b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertTrue(entered.wait(TIMEOUT_SECONDS))
+        (channel,) = self.server._server.active_channels.values()
+        self.assertEqual(len(channel.requests), 1)
+
+
 class TestConnectionLimit(ServerCase):
     """The number of connections, and so of threads, is limited."""
 
@@ -450,6 +585,41 @@
         """Guards against an idle connection that blocks another caller."""
         self.assert_idle_connection_is_replaced()
 
+    def test_connection_with_an_unfinished_request_is_replaced(self):
+        """Guards against heads and bodies that stop and hold all connections."""
+        for start in (
+            b"GET / HTTP/1.1\r\nHo",
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc",
+        ):
+            with self.subTest(start):
+                stopped = self.connect()
+                stopped.sendall(start)
+                time.sleep(1.2 * GRACE_MS / 1e3)
+                served = self.send(
+                    b"GET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+                )
+                self.assertIn(b"/2", served)
+                self.assertEqual(self.read_all(stopped), b"")
+
+    def test_connection_of_a_running_request_is_not_replaced(self):
+        """Guards against requests that are cut off while their target runs."""
+        leave, entered = threading.Event(), threading.Event()
+        self.addCleanup(leave.set)
+
+        def hold(request):
+            entered.set()
+            leave.wait(TIMEOUT_SECONDS)
+            return Answer(status=200, body=b"done")
+
+        self.server._server.application = hold
+        running = self.connect()
+        running.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertTrue(entered.wait(TIMEOUT_SECONDS))
+        time.sleep(1.2 * GRACE_MS / 1e3)
+        self.assertIn(b"503", self.read_all(self.connect()))
+        leave.set()
+        self.assertIn(b"done", running.recv(4096))
+
     def delay_after_responses(self):
         """Delay the thread of a connection after the caller has its response."""
         service = ConnectionChannel.service
@@ -522,10 +692,10 @@
 
     def test_head_keeps_the_length_of_the_body_it_describes(self):
         response = Answer(status=200, headers=(("Content-Length", "42"),))
-        content = encode_response(response, method="HEAD", close=False)
+        content = encode_head(response, method="HEAD", close=False)
         self.assertIn(b"\r\nContent-Length: 42\r\n", content)
         self.assertTrue(content.endswith(b"\r\n\r\n"))
 
     def test_no_content_has_no_length(self):
-        content = encode_response(Answer(status=204), method="GET", close=False)
+        content = encode_head(Answer(status=204), method="GET", close=False)
         self.assertNotIn(b"Content-Length", content)
--- a/tests/adapters/test_response_assembly.py
+++ b/tests/adapters/test_response_assembly.py
@@ -3,8 +3,9 @@
 import http.client
 import unittest
 
-from monsoonline.adapters.receive_budget import ReceiveBudget
 from monsoonline.adapters.response_assembly import ResponseAssembler
+from monsoonline.clock import ManualClock
+from monsoonline.core.memory_account import MemoryAccount, Phase
 from tests.adapters.endless_replies import ENDLESS_REPLIES
 from tests.adapters.test_http_response import (
     RESPONSES,
@@ -22,10 +23,11 @@
 
 
 class AssemblerCase(unittest.TestCase):
-    """An assembler with a budget of its own."""
+    """An assembler with a memory account of its own."""
 
     def setUp(self):
-        self.assembler = ResponseAssembler(received=ReceiveBudget().open())
+        account = MemoryAccount(max_bytes=32 << 20, clock=ManualClock())
+        self.assembler = ResponseAssembler(memory=account.open(phase=Phase.UPSTREAM))
 
     def take(self):
         return self.assembler.take(method="GET", max_bytes=MAX_BYTES)
--- a/tests/adapters/test_upstream_sessions.py
+++ b/tests/adapters/test_upstream_sessions.py
@@ -8,12 +8,14 @@
 import time
 import tracemalloc
 import unittest
+from unittest import mock
 
 from monsoonline.adapters.http_response import MAX_RESPONSE_BYTES
-from monsoonline.adapters.receive_budget import ReceiveBudget
 from monsoonline.adapters.upstream_sessions import Probe, SessionFailed, SessionPool
 from monsoonline.clock import SystemClock
+from monsoonline.core import memory_account
 from monsoonline.core.header_names import HeaderNames
+from monsoonline.core.memory_account import MemoryAccount
 from monsoonline.types import Request
 from tests.adapters.endless_replies import ENDLESS_REPLIES, HEAD
 from tests.adapters.scripted_upstream import Reply, ScriptedUpstream, header_of
@@ -33,11 +35,11 @@
 class SessionTest(unittest.TestCase):
     """Base class with a session to a scripted upstream."""
 
-    def session_to(self, script, *, budget=None):
+    def session_to(self, script, *, account=None):
         self.upstream = ScriptedUpstream(script=script)
         self.addCleanup(self.upstream.close)
         clock = SystemClock()
-        self.pool = SessionPool(clock=clock, names=NAMES, budget=budget)
+        self.pool = SessionPool(clock=clock, names=NAMES, account=account)
         self.addCleanup(self.pool.close)
         self.clock = clock
         return self.connect()
@@ -401,32 +403,52 @@
                 # The body, and a copy while its parts are joined.
                 self.assertLess(peak, 2 * MAX_ENDLESS_BYTES)
 
-    def test_responses_without_end_together_exceed_the_memory(self):
-        budget = ReceiveBudget(max_bytes=1 << 20)
+    def receive_beside_unfinished_response(self):
+        """Read a large response while another one holds most of the memory.
+
+        :returns: the account, the session that waits for memory, the thread that reads
+            the other response until its deadline, and that deadline
+        """
+        account = MemoryAccount(max_bytes=1 << 20, clock=SystemClock())
         stalled = Reply(
-            content=HEAD + b"Content-Length: 2000000\r\n\r\n" + b"x" * 900_000
+            content=HEAD + b"Content-Length: 2000000\r\n\r\n" + b"x" * 850_000
         )
         large = response("own", body=b"x" * 900_000)
         session = self.session_to(
-            lambda connection, _: stalled if connection == 1 else large, budget=budget
+            lambda connection, _: stalled if connection == 1 else large, account=account
         )
         deadline = self.send(session)
         task = threading.Thread(
             target=lambda: self.assertRaises(
-                SessionFailed,
-                self.read_response,
-                session,
-                deadline,
+                SessionFailed, self.read_response, session, deadline
             )
         )
         task.start()
         time.sleep(0.3)
-        with self.assertRaises(SessionFailed) as caught:
-            self.exchange(self.connect())
-        self.assertIn("exceed", str(caught.exception))
+        return account, self.connect(), task, deadline
+
+    def test_responses_without_end_together_exceed_the_memory(self):
+        with mock.patch.object(memory_account, "OVERDRAFT_BYTES", 0):
+            account, waiting, task, deadline = self.receive_beside_unfinished_response()
+            self.send(waiting)
+            while self.clock.now() < deadline - 200.0:
+                self.assertIsNone(waiting.read_request(REQUEST, "own"))
+                self.assertLessEqual(account.total_bytes, account.max_bytes)
+                time.sleep(0.02)
+            self.assertTrue(waiting.paused)
+            task.join()
+            # The memory of a response that was given up is available again, and what
+            # was not read is still there.
+            body = self.read_response(waiting, self.clock.now() + WAIT_MS).body
+        self.assertEqual(len(body), 900_000)
+        self.assertEqual(account.message_bytes, 0)
+
+    def test_one_response_is_completed_beyond_the_limit(self):
+        """Guards against responses that wait for each other's memory."""
+        account, session, task, _ = self.receive_beside_unfinished_response()
+        self.assertEqual(len(self.exchange(session).body), 900_000)
         task.join()
-        # The memory of a response that was given up is available again.
-        self.assertEqual(len(self.exchange(self.connect()).body), 900_000)
+        self.assertEqual(account.message_bytes, 0)
 
     def test_probe_response_without_end_is_read_on(self):
         probe = Probe(path="/health", names=NAMES)
--- a/tests/test_fleet_settings.py
+++ b/tests/test_fleet_settings.py
@@ -6,7 +6,11 @@
 import unittest
 
 from monsoonline.errors import FindingsError
-from monsoonline.fleet_settings import connection_limit, parse_settings
+from monsoonline.fleet_settings import (
+    IDLE_PROCESS_MB,
+    connection_limit,
+    parse_settings,
+)
 
 DEPLOY_DIRECTORY = pathlib.Path(__file__).resolve().parents[1] / "deploy"
 DOCUMENT = {
@@ -59,6 +63,23 @@
         self.assertLess(connection_limit(memory_mb=50, descriptors=3075), 250)
         self.assertLess(connection_limit(memory_mb=4_000, descriptors=600), 250)
 
+    def test_message_memory_follows_from_the_machine(self):
+        """Guards against messages that exceed the machine beside the idle process."""
+        for memory_mb in (128, 235, 1_000):
+            with self.subTest(memory_mb):
+                machine = {"memory_mb": memory_mb, "descriptors": 3075}
+                settings = parse_with(machine=machine)
+                self.assertLess(
+                    settings.message_bytes, (memory_mb - IDLE_PROCESS_MB) * 1e6
+                )
+                self.assertGreater(
+                    settings.message_bytes, (memory_mb - IDLE_PROCESS_MB) * 0.7e6
+                )
+
+    def test_message_memory_can_be_set(self):
+        machine = DOCUMENT["machine"] | {"message_memory_mb": 12.5}
+        self.assertEqual(parse_with(machine=machine).message_bytes, 12_500_000)
+
     def test_template_contains_every_settings_field(self):
         """Guards against a field missing in the template, which prevents a start."""
         text = (DEPLOY_DIRECTORY / "settings.json.template").read_text()
