Limit the body of a request, not its framing

Cause: waitress compares the received bytes of a chunked body, with its framing, with the limit, and refuses a body of exactly the limit.

Change: the parser limits the data of a body, lines between chunks, trailers, and the ratio of framing to data.

--- a/src/monsoonline/adapters/http_parser.py
+++ b/src/monsoonline/adapters/http_parser.py
@@ -8,7 +8,7 @@
     ParsingError,
     TransferEncodingNotImplemented,
 )
-from waitress.utilities import BadRequest, Error
+from waitress.utilities import BadRequest, Error, RequestEntityTooLarge
 
 from monsoonline.adapters.http_headers import remove_hop_by_hop
 from monsoonline.core.memory_account import MemoryRefused
@@ -24,6 +24,9 @@
 # Longest line before a chunk of a body, and longest trailers after it.
 MAX_CHUNK_LINE_BYTES = 1024
 MAX_TRAILER_BYTES = 16 << 10
+# Largest ratio of a chunked body to its data, checked after the first bytes.
+MAX_CHUNKED_RATIO = 8
+MIN_CHUNKED_BYTES = 64 << 10
 HOST = re.compile(r"[A-Za-z0-9._\-]*(?::[0-9]*)?|\[[0-9A-Fa-f:.]+\](?::[0-9]*)?")
 
 
@@ -40,7 +43,8 @@
     waitress joins repeated headers and lets chunked coding override Content-Length.
     Request smuggling exploits that implementations differ in both.
 
-    :param adj: adjustments of waitress
+    :param adj: adjustments of waitress with ``max_body_bytes``, the limit of a body
+        without its framing
     :param memory: :class:`monsoonline.core.memory_account.MemoryHolder` of the
         connection, ``None`` for a request that is not counted
     """
@@ -61,7 +65,7 @@
             if self.headers_finished:
                 self.header_plus = b""
             if self.error is None:
-                self._check_chunk_lines()
+                self._check_body()
                 self._count_memory()
         except MemoryRefused as error:
             self.refuse(str(error))
@@ -76,9 +80,7 @@
     def refuse(self, message):
         """Drop what was received; the request is refused for want of memory."""
         self.close()
-        self.error = BodiesTooLarge(message)
-        self.expect_continue = False
-        self.completed = True
+        self._fail(BodiesTooLarge(message))
 
     def close(self):
         """Release the request; called by waitress after the response."""
@@ -91,16 +93,28 @@
         if self.body_rcv is not None:
             self.body_rcv.getbuf().close()
 
-    def _check_chunk_lines(self):
-        if not self.chunked or self.body_rcv is None:
-            return
+    def _check_body(self):
+        """Refuse a body that is too large, or framing that is much larger than it."""
         receiver = self.body_rcv
-        if (
+        if receiver is None:
+            return
+        body_bytes = len(receiver) if self.chunked else self.content_length
+        if body_bytes > self.adj.max_body_bytes:
+            self._fail(
+                RequestEntityTooLarge(f"exceeds {self.adj.max_body_bytes} bytes")
+            )
+        elif self.chunked and (
             len(receiver.control_line) > MAX_CHUNK_LINE_BYTES
             or len(receiver.trailer) > MAX_TRAILER_BYTES
+            or self.body_bytes_received
+            > MIN_CHUNKED_BYTES + MAX_CHUNKED_RATIO * body_bytes
         ):
-            self.error = BadRequest("a line of the chunked body is too long")
-            self.completed = True
+            self._fail(BadRequest("the framing of the chunked body is too large"))
+
+    def _fail(self, error):
+        self.error = error
+        self.expect_continue = False
+        self.completed = True
 
     def _count_memory(self):
         if self._memory is not None:
--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -63,8 +63,8 @@
 IDLE_POLL_MS = 0.5
 # Limit of all messages in progress, unless the server is given an account.
 DEFAULT_MESSAGE_BYTES = 256 << 20
-# Exceeds each body, since a file would count as memory and be copied.
-MAX_BUFFERED_BODY_BYTES = 1 << 40
+# Exceeds each body. A file would count as memory and be copied.
+UNLIMITED_BYTES = 1 << 40
 # Delay after which a request may be repeated that found no memory.
 BODY_RETRY_AFTER_S = 1
 BODY_ERRORS = (BodiesTooLarge, RequestEntityTooLarge)
@@ -586,7 +586,7 @@
     def use_limits(self, limits):
         """Apply :class:`monsoonline.core.model.CallerLimits` to later requests."""
         self.limits = limits
-        self.adj.max_request_body_size = limits.max_body_bytes
+        self.adj.max_body_bytes = limits.max_body_bytes
         self.adj.max_request_header_size = limits.max_header_bytes
 
     def add_task(self, task):
@@ -758,15 +758,17 @@
             port=port,
             ident=None,
             backlog=BACKLOG,
-            max_request_body_size=CallerLimits().max_body_bytes,
+            # The parser applies the limit, since waitress counts the framing too.
+            max_request_body_size=UNLIMITED_BYTES,
             max_request_header_size=CallerLimits().max_header_bytes,
             recv_bytes=RECEIVE_BYTES,
             clear_untrusted_proxy_headers=False,
             channel_request_lookahead=1,
             # Connection resets and idle timeouts are not errors of this process.
             log_socket_errors=False,
-            inbuf_overflow=MAX_BUFFERED_BODY_BYTES,
+            inbuf_overflow=UNLIMITED_BYTES,
         )
+        adjustments.max_body_bytes = CallerLimits().max_body_bytes
         adjustments.memory_account = account or MemoryAccount(
             max_bytes=DEFAULT_MESSAGE_BYTES, clock=SystemClock()
         )
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -146,6 +146,26 @@
         self.assert_refused(head + b"%x\r\n" % size + b"x" * size, 413)
 
 
+class TestChunkedFraming(ServerCase):
+    """Framing of a body that belongs to no data is limited."""
+
+    HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    def assert_framing_refused(self, content):
+        received = self.send(self.HEAD + content)
+        self.assertTrue(received.startswith(b"HTTP/1.1 400 "), received[:80])
+        self.assertEqual(self.requests, [])
+
+    def test_chunk_line_without_end(self):
+        self.assert_framing_refused(b"1;" + b"a" * 20_000)
+
+    def test_trailers_without_end(self):
+        self.assert_framing_refused(b"1\r\na\r\n0\r\n" + b"a: b\r\n" * 6_000)
+
+    def test_framing_much_larger_than_its_data(self):
+        self.assert_framing_refused((b"1;" + b"a" * 900 + b"\r\na\r\n") * 2_000)
+
+
 class TestAcceptedRequests(ServerCase):
     """Requests reach the handler unchanged, and responses the right caller."""
 
@@ -186,6 +206,24 @@
         )
         self.assertEqual(self.requests[0].body, b"abcde")
 
+    def test_body_of_the_maximum_size_is_passed_whole(self):
+        """Guards against a limit that counts the framing, or the last byte."""
+        size = CallerLimits().max_body_bytes
+        chunk = b"%x\r\n" % 1024 + b"x" * 1024 + b"\r\n"
+        for framing, content in (
+            (b"Content-Length: %d" % size, b"x" * size),
+            (b"Transfer-Encoding: chunked", chunk * (size // 1024) + b"0\r\n\r\n"),
+        ):
+            with self.subTest(framing):
+                received = self.send(
+                    b"POST /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                    + framing
+                    + b"\r\n\r\n"
+                    + content
+                )
+                self.assertIn(b"200 OK", received)
+                self.assertEqual(len(self.requests.pop().body), size)
+
     def test_expect_continue(self):
         connection = self.connect()
         connection.sendall(
