Poll while a response waits for memory

Found by a review: once a hedge was due, a thread whose response waited for memory returned to it at once and without end (125,295 turns in 1 s, a whole core), no hedge was sent, and the caller's leaving was not noticed, just when memory was short.

Cause: an attempt without memory was tried again whenever no other event came, and the overdue time of the hedge left no wait between.

Change: an attempt is tried again 20 ms after it found no memory, the one that has waited longest first; other events come between. The new test saw no hedge before and spun.

--- a/src/monsoonline/adapters/upstream_sessions.py
+++ b/src/monsoonline/adapters/upstream_sessions.py
@@ -124,7 +124,7 @@
         # Time of the first byte of an incomplete response, None without one.
         self._receiving_since = None
         self._stray_responses = 0
-        self._paused = False
+        self._paused_at = None
         # Whether sending failed, which takes the error of a reset from the socket.
         self._send_failed = False
         # Whether a reset ended the connection, which is no end of a response.
@@ -163,9 +163,9 @@
         return self._receiving_since
 
     @property
-    def paused(self):
-        """Whether bytes have arrived that are not read for want of memory."""
-        return self._paused
+    def paused_at(self):
+        """Time in ms at which there was no memory to read on, ``None`` if there was."""
+        return self._paused_at
 
     @property
     def connecting(self):
@@ -337,7 +337,7 @@
     def _find_room(self):
         """Return how many bytes may be received; the session pauses at 0."""
         room = self._memory.room_for(RECEIVE_BYTES)
-        self._paused = not room
+        self._paused_at = None if room else self._clock.now()
         return room
 
     def _is_reset(self):
@@ -372,6 +372,7 @@
         if framed is None:
             return None
         now = self._clock.now()
+        self._paused_at = None
         self._receiving_since = None if self._assembler.empty else now
         if not framed.keep_alive:
             self._close_after_use = True
--- a/src/monsoonline/bench/virtual_sessions.py
+++ b/src/monsoonline/bench/virtual_sessions.py
@@ -83,7 +83,7 @@
     expired = False
     # Responses arrive whole.
     receiving_since = None
-    paused = False
+    paused_at = None
 
     def __init__(self, *, address, network):
         self._address = address
--- a/src/monsoonline/entry/placed_relay.py
+++ b/src/monsoonline/entry/placed_relay.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import math
 import select
 
 from monsoonline.adapters.upstream_sessions import SessionFailed
@@ -391,8 +392,8 @@
             wake_at = min(wake_at, task.hedge_timer.check_at)
         poller = self._poller()
         by_descriptor, paused = self._register_attempts(task, poller)
-        if paused is not None:
-            wake_at = min(wake_at, now + MEMORY_POLL_MS)
+        retry_at = self._memory_retry_at(paused)
+        wake_at = min(wake_at, retry_at)
         caller = task.request.cancellation.caller if task.request.cancellation else None
         watch_caller = caller is not None and not task.caller_left
         if watch_caller:
@@ -405,20 +406,30 @@
             return Event.CALLER_GONE, None
         if self._clock.now() >= deadline:
             return Event.DEADLINE, None
-        if paused is not None:
+        if self._clock.now() >= retry_at:
             return Event.READABLE, paused
         return Event.HEDGE, None
 
+    @staticmethod
+    def _memory_retry_at(paused):
+        """Return the time at which to try an attempt that waits for memory again."""
+        if paused is None:
+            return math.inf
+        return paused.session.paused_at + MEMORY_POLL_MS
+
     @staticmethod
     def _register_attempts(task, poller):
         """Register the sessions to wait for.
 
-        :returns: the attempts by descriptor, and one that waits for memory, if any
+        :returns: the attempts by descriptor, and the one that has waited longest for
+            memory, if any
         """
         by_descriptor, paused = {}, None
         for attempt in task.open_attempts:
-            if attempt.session.paused:
-                paused = attempt
+            if attempt.session.paused_at is not None:
+                paused = min(
+                    paused or attempt, attempt, key=lambda a: a.session.paused_at
+                )
             elif attempt.session.reusable or attempt.session.connected:
                 descriptor = attempt.session.fileno()
                 by_descriptor[descriptor] = attempt
--- a/tests/adapters/test_upstream_sessions.py
+++ b/tests/adapters/test_upstream_sessions.py
@@ -435,7 +435,7 @@
                 self.assertIsNone(waiting.read_request(REQUEST, "own"))
                 self.assertLessEqual(account.total_bytes, account.max_bytes)
                 time.sleep(0.02)
-            self.assertTrue(waiting.paused)
+            self.assertIsNotNone(waiting.paused_at)
             task.join()
             # The memory of a response that was given up is available again, and what
             # was not read is still there.
--- a/tests/entry/test_placed_relay.py
+++ b/tests/entry/test_placed_relay.py
@@ -25,6 +25,7 @@
 from monsoonline.core.registrations import Registration
 from monsoonline.core.retry_budget import RetryLimits
 from monsoonline.entry.placed_relay import PlacedRelay
+from monsoonline.entry.request_task import Event
 from monsoonline.errors import Refusal
 from monsoonline.metrics import Metrics
 from monsoonline.types import LoadReport, Outcome, Request
@@ -854,6 +855,40 @@
                 self.assertEqual(relay.handle(self.request()).status, 200)
 
 
+class TestMemoryShortage(RelayTest):
+    """A response for which there is no memory is waited for like any other."""
+
+    def test_wait_for_memory_hides_the_hedge_and_the_caller(self):
+        """Guards against a thread that spins while a response waits for memory."""
+        relay = self.relay_to(Target("i1"))
+        clock = SystemClock()
+        now = clock.now()
+        session = mock.Mock(paused_at=now, receiving_since=None)
+        caller, peer = socket.socketpair()
+        self.addCleanup(caller.close)
+        peer.close()
+        task = mock.Mock(
+            deadline=now + 200.0,
+            hedge_timer=mock.Mock(check_at=now - 1.0),
+            open_attempts=[mock.Mock(session=session)],
+            caller_left=False,
+        )
+        task.request.cancellation.caller = caller
+        events = []
+        while not events or events[-1] is not Event.DEADLINE:
+            event, _ = relay._wait(task)
+            events.append(event)
+            if event is Event.HEDGE:
+                task.hedge_timer.check_at = now + 60_000.0
+            elif event is Event.READABLE:
+                session.paused_at = clock.now()
+            elif event is Event.CALLER_GONE:
+                task.caller_left = True
+        self.assertIn(Event.HEDGE, events)
+        self.assertIn(Event.CALLER_GONE, events)
+        self.assertLess(len(events), 30)
+
+
 class TestPermits(RelayTest):
     """Requests to an upstream with a limit are sent only with a valid permit."""
 
