Bound a response beyond the limit by what is in use when it begins

Found by a review: beside 845 or more connections on a machine of 235 MB, the response to a request of 64 MiB stopped at 16 KiB until its deadline, though its target worked.

Cause: a request of any size is received while there is no other one, so that it may exceed the limit by itself; the 8 MiB that one response may take beyond were counted from the limit.

Change: they are counted from what is in use when the response gets its place.

--- a/src/monsoonline/core/memory_account.py
+++ b/src/monsoonline/core/memory_account.py
@@ -150,6 +150,7 @@
         self._connections = 0
         # The holder of a response that may exceed the limit.
         self._finisher = None
+        self._finisher_limit = max_bytes
         self._gave_way = collections.Counter()
         # Time until which no holder is expected that could give way.
         self._search_at = float("-inf")
@@ -256,10 +257,10 @@
             if self._finisher is None:
                 self._finisher = holder
                 holder.finishes = True
-            if (
-                holder.finishes
-                and self._total + size <= self._max_bytes + OVERDRAFT_BYTES
-            ):
+                # A request that was received alone may exceed the limit already.
+                exceeded = max(self._max_bytes, self._total)
+                self._finisher_limit = exceeded + OVERDRAFT_BYTES
+            if holder.finishes and self._total + size <= self._finisher_limit:
                 return size
         return 0
 
