Mark no message as giving way that cannot

Found by a review: a reader that was chosen to give way just before its response was sent kept its bytes and its connection, could not be chosen again, and each newcomer waited 100 ms for its bytes, the thread that accepts connections, too.

Cause: the mark was set before the connection was asked whether it can be closed, and the pace of the upload counted against the response.

Change: a holder that cannot give way now is passed over, a response begins with a pace of its own, and the accepting thread does not wait. The new test failed before.

--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -266,6 +266,8 @@
 
         :param size: size of the body of the response
         """
+        # What the caller took for its request is no delay of the response.
+        self._pace.reset()
         self.memory.enter(Phase.DELIVERING)
         self.memory.force(size + len(self._unparsed))
 
@@ -276,8 +278,7 @@
             if request is not None:
                 request.drop_body()
             return True
-        self.interrupt()
-        return False
+        return False if self.interrupt() else None
 
     def close_if_idle(self):
         """Shut down reading if the connection is waiting for a request.
--- a/src/monsoonline/core/memory_account.py
+++ b/src/monsoonline/core/memory_account.py
@@ -61,7 +61,7 @@
     :param pace: :class:`monsoonline.core.peer_pace.PeerPace` of the peer, ``None`` for
         a holder that never gives way
     :param give_way: called, with the account locked, when the holder gives way; returns
-        whether the bytes are already released
+        whether the bytes are already released, ``None`` if it cannot give way now
     """
 
     __slots__ = (
@@ -189,7 +189,9 @@
         :returns: whether there is memory for it
         """
         with self._condition:
-            if not self._make_room(None, CONNECTION_BYTES, small=True) and not force:
+            # Connections are accepted by one thread, which must not wait.
+            has_room = self._make_room(None, CONNECTION_BYTES, small=True, wait_ms=0.0)
+            if not (has_room or force or self._leaving_bytes() >= CONNECTION_BYTES):
                 return False
             self._total += CONNECTION_BYTES
             self._connections += CONNECTION_BYTES
@@ -289,13 +291,15 @@
         if self._fits(holder, growth, small=small):
             return True
         ends_at = self._clock.now() + wait_ms
+        passed_over = set()
         limit = self._max_bytes if small else self._max_large_bytes
         while True:
-            leaving = sum(h.counted for h in self._holders if h.gave_way)
+            leaving = self._leaving_bytes()
             if self._total + growth - leaving > limit:
-                slowest = self._find_slowest(holder)
+                slowest = self._find_slowest(holder, passed_over)
                 if slowest is not None:
-                    self._let_give_way(slowest)
+                    if not self._let_give_way(slowest):
+                        passed_over.add(slowest)
                     if self._fits(holder, growth, small=small):
                         return True
                     continue
@@ -306,16 +310,21 @@
             if self._fits(holder, growth, small=small):
                 return True
 
-    def _find_slowest(self, asking):
+    def _leaving_bytes(self):
+        """Return the bytes of holders that gave way and release them soon."""
+        return sum(holder.counted for holder in self._holders if holder.gave_way)
+
+    def _find_slowest(self, asking, passed_over):
         """Return the holder that has moved least for its bytes, ``None`` without one.
 
         :param asking: the holder that needs memory, which gives way by a refusal
+        :param passed_over: holders that cannot give way now
         """
         now = self._clock.now()
         if now < self._search_at:
             return None
         slowest, most = None, 0.0
-        for holder in self._holders:
+        for holder in self._holders - passed_over:
             cost = self._cost(holder, now)
             if cost > most:
                 slowest, most = holder, cost
@@ -334,8 +343,13 @@
         return behind_ms * holder.counted if behind_ms > GRACE_MS else 0.0
 
     def _let_give_way(self, holder):
+        """Let a holder give way; return whether it does."""
+        released = holder.give_way()
+        if released is None:
+            return False
         holder.gave_way = True
         self._gave_way[holder.phase] += 1
-        if holder.give_way():
+        if released:
             holder.size = 0
             self._count(holder, 0)
+        return True
--- a/tests/core/test_memory_account.py
+++ b/tests/core/test_memory_account.py
@@ -146,6 +146,15 @@
             self.open(LARGE_BYTES)
         self.assertEqual(self.left, [])
 
+    def test_holder_that_cannot_give_way_now_is_passed_over(self):
+        """Guards against a mark that keeps bytes which are never released."""
+        stuck = self.open(LARGE_BYTES, behind_ms=9e3, releases=None)
+        others = self.fill(behind_ms=2e3)[1:]
+        self.open(LARGE_BYTES)
+        self.assertFalse(stuck.gave_way)
+        self.assertEqual(stuck.counted, LARGE_BYTES - UNCOUNTED_BYTES)
+        self.assertEqual(sum(holder.gave_way for holder in others), 1)
+
     def test_slowest_message_is_the_one_that_asks(self):
         """Guards against sound uploads that end for one that hardly moves."""
         holders = self.fill(behind_ms=2.0 * GRACE_MS)
