Give readers credit for what they have read ahead

Found by a review: a caller that read 64,000 bytes a second, twice the fair pace, counted as 2 s behind, and lost its connection while others needed the memory.

Cause: what a reader has taken is acknowledged in steps of 128 KB here, which are seconds apart, and a step that came early earned nothing.

Change: a reader may be ahead by up to 3 s and is so at first; one that has stopped gives way after 4 s instead of 1 s. Uploads get no credit, as before.

--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -52,6 +52,9 @@
 # Time in ms by which a caller may be behind before its connection may be closed for
 # another one.
 BEHIND_MS = 1_000.0
+# Time in ms by which a reader may be ahead of a fair pace, and is at first: what it has
+# read is acknowledged in steps, which may be seconds apart.
+READER_CREDIT_MS = 3_000.0
 # Maximum time for a caller to receive all buffered bytes of a response.
 TRANSFER_TIMEOUT_MS = 30_000.0
 BACKLOG = 1024
@@ -385,7 +388,7 @@
     def _send_slowly(self, view):
         """Send the rest of a part of a response, for which the caller is waited for."""
         self._send_deadline = time.monotonic() + TRANSFER_TIMEOUT_MS / 1e3
-        self._pace.reset()
+        self._pace.reset(credit_ms=READER_CREDIT_MS)
         self._unread = unacknowledged_bytes(self.socket)
         self._interruptible = True
         while view and (sent := self.send(view)):
--- a/src/monsoonline/core/peer_pace.py
+++ b/src/monsoonline/core/peer_pace.py
@@ -15,15 +15,24 @@
     :param fair_bytes_per_s: slowest fair pace in bytes per second
     """
 
-    __slots__ = ("_behind_ms", "_fair_bytes_per_ms", "_waits_until", "_waits_since")
+    __slots__ = (
+        "_behind_ms",
+        "_fair_bytes_per_ms",
+        "_least_ms",
+        "_waits_since",
+        "_waits_until",
+    )
 
     def __init__(self, *, fair_bytes_per_s=FAIR_BYTES_PER_S):
         self._fair_bytes_per_ms = fair_bytes_per_s / 1e3
         self.reset()
 
-    def reset(self):
-        """Begin another message."""
-        self._behind_ms = 0.0
+    def reset(self, *, credit_ms=0.0):
+        """Begin another message.
+
+        :param credit_ms: time in ms by which the peer may be ahead, and is at first
+        """
+        self._least_ms = self._behind_ms = -credit_ms
         self._waits_since = self._waits_until = None
 
     def begin_wait(self, now, timeout_ms):
@@ -38,10 +47,14 @@
 
     def move(self, size):
         """Record that the peer has sent or received bytes."""
-        self._behind_ms = max(0.0, self._behind_ms - size / self._fair_bytes_per_ms)
+        behind_ms = self._behind_ms - size / self._fair_bytes_per_ms
+        self._behind_ms = max(self._least_ms, behind_ms)
 
     def behind_ms(self, now):
-        """Return the time in ms by which the peer is behind a fair pace."""
+        """Return the time in ms by which the peer is behind a fair pace.
+
+        It is negative for a peer that is ahead.
+        """
         since = self._waits_since
         if since is None:
             return self._behind_ms
--- a/tests/core/test_peer_pace.py
+++ b/tests/core/test_peer_pace.py
@@ -45,6 +45,16 @@
         self.wait(0.0, 3_000.0)
         self.assertEqual(self.pace.behind_ms(3_000.0), 3_000.0)
 
+    def test_reader_whose_acknowledgements_come_in_steps_falls_behind(self):
+        """Guards against steady readers that lose their connection."""
+        self.pace.reset(credit_ms=3_000.0)
+        for step in range(50):
+            self.wait(2e3 * step, 2e3 * (step + 1))
+            self.assertLessEqual(self.pace.behind_ms(0.0), 0.0)
+            self.pace.move(2_500)
+        self.wait(100_000.0, 105_000.0)
+        self.assertEqual(self.pace.behind_ms(0.0), 2_000.0)
+
 
 if __name__ == "__main__":
     unittest.main()
