Run no request on a connection that was closed for another one

Found by a review: when a connection was closed right after the last bytes of a response, a request that had been pipelined behind it still ran, and its caller got no answer.

Cause: the thread parsed the next request before it noticed the end of the connection.

Change: it ends first. The new test failed before.

--- a/src/monsoonline/adapters/http_server.py
+++ b/src/monsoonline/adapters/http_server.py
@@ -349,6 +349,8 @@
             self.service()
             if self.total_outbufs_len:
                 return
+            if self._interrupted:
+                self.close_when_flushed = True
             if not self.close_when_flushed:
                 self._parse_next()
 
