Let responses exceed the limit by running requests only

test_uploads_and_slow_readers reached 97.7 MB (bound 75 MB) in one run after the change of the bound for one response beyond the limit: responses that have arrived are never refused and count toward what is in use, so that each further one could begin 8 MiB above the last.

Change: the bound is that of the limit, or of connections and running requests where these exceed it, as a request does that was received alone.

--- a/src/monsoonline/core/memory_account.py
+++ b/src/monsoonline/core/memory_account.py
@@ -260,8 +260,9 @@
                 self._finisher = holder
                 holder.finishes = True
                 # A request that was received alone may exceed the limit already.
-                exceeded = max(self._max_bytes, self._total)
-                self._finisher_limit = exceeded + OVERDRAFT_BYTES
+                running = self._held[Phase.RUNNING] + self._connections
+                used = max(self._max_bytes, running)
+                self._finisher_limit = used + OVERDRAFT_BYTES
             if holder.finishes and self._total + size <= self._finisher_limit:
                 return size
         return 0
